--- /dev/null
+++ b/bulrushspread/src/admit/message.rs
@@ -0,0 +1,7 @@
+//! Peer messages of the admit slice.
+
+use serde::{Deserialize, Serialize};
+
+/// What nodes tell one another in this slice.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {}
--- /dev/null
+++ b/bulrushspread/src/attempt/mod.rs
@@ -0,0 +1,6 @@
+//! Sending a request to upstreams: retries, deadlines, resumed streams, quarantine, intents.
+
+pub mod message;
+pub mod settings;
+
+pub use settings::Settings;
--- /dev/null
+++ b/bulrushspread/src/journal/mod.rs
@@ -0,0 +1,14 @@
+//! The platform's append-only log as the slices see it: ordered, deduplicated records.
+//!
+//! * [`Store`] is the trait at the edge; `http` holds the one implementation.
+//! * [`record`] holds the framing of records inside an append.
+//! * `state` decides what to append, when, and what a lost answer means.
+
+pub mod http;
+pub mod record;
+pub mod settings;
+pub mod store;
+
+pub use record::{Entry, Id, Record};
+pub use settings::Settings;
+pub use store::{Page, Store};
--- /dev/null
+++ b/bulrushspread/src/operator/mod.rs
@@ -0,0 +1,5 @@
+//! The operators' HTTP listener.
+
+pub mod settings;
+
+pub use settings::Settings;
--- /dev/null
+++ b/bulrushspread/src/peer/mod.rs
@@ -0,0 +1,9 @@
+//! Messages between nodes over QUIC with mutual TLS.
+
+pub mod message;
+pub mod settings;
+pub mod transport;
+
+pub use message::Message;
+pub use settings::Settings;
+pub use transport::Transport;
