--- a/bulrushspread/src/batch/message.rs
+++ b/bulrushspread/src/batch/message.rs
@@ -1,7 +1,110 @@
-//! Peer messages of the batch slice.
+//! Messages between lane owners, batch runners and the nodes that dispatch online requests.
 
 use serde::{Deserialize, Serialize};
 
-/// What nodes tell one another in this slice.
+use crate::{
+    id::{Deployment, Epoch, Item, Job, Lane, Model, Upstream, Workspace},
+    time::Millis,
+};
+
+/// What nodes tell one another about batch work.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// Runner to lane owner: asks for items and says what it holds. Answered by `Grant`.
+    Pull(Pull),
+    Grant(Grant),
+    /// Runner to lane owner: how items ended. Answered once the owner has taken them over.
+    Outcomes(Outcomes),
+    /// Lane owner to runner: these items must stop.
+    Stop(Stop),
+    /// Any node to a runner: online work was dispatched to an upstream of the runner.
+    Yield(Yield),
+}
+
+/// Names one run of one item. A ticket of an older epoch or attempt is void.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Ticket {
+    pub lane: Lane,
+    pub epoch: Epoch,
+    pub job: Job,
+    pub item: Item,
+    /// Counts the runs of the item, from one.
+    pub attempt: u32,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Pull {
+    pub lanes: Vec<Lane>,
+    /// Room for more items, per deployment.
+    pub room: Vec<Room>,
+    /// What the runner holds of these lanes; the owner takes back what is missing.
+    pub holding: Vec<Ticket>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Room {
+    pub deployment: Deployment,
+    pub models: Vec<Model>,
+    pub items: u32,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Grant {
+    /// Most urgent first.
+    pub work: Vec<Work>,
+}
+
+/// An item as a runner gets it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Work {
+    pub ticket: Ticket,
+    pub workspace: Workspace,
+    /// Time left until the job is due.
+    pub due_in: Millis,
+    /// False for items whose calls must not be repeated.
+    pub idempotent: bool,
+    /// The path of the request, such as `/v1/chat/completions` or `/services/{service}/{path}`.
+    pub url: String,
+    /// The model of the request, where the path is a model's.
+    pub model: Option<Model>,
+    /// The JSON body of the request.
+    pub body: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Outcomes {
+    pub outcomes: Vec<Outcome>,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Outcome {
+    pub ticket: Ticket,
+    pub end: End,
+}
+
+/// How one run of an item ended.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum End {
+    /// The upstream answered; `body` is the JSON that the result line carries.
+    Answered { status: u16, body: String },
+    /// The run gave no answer, and running again may help.
+    Failed { reason: String },
+    /// The upstream died while it ran the item.
+    Crashed { reason: String },
+    /// The request was sent and the outcome can't be learnt.
+    Unknown { reason: String },
+    /// Nothing was sent to an upstream; the item goes back unharmed.
+    Returned,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Stop {
+    pub tickets: Vec<Ticket>,
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Message {}
+pub struct Yield {
+    pub upstream: Upstream,
+    /// Online requests that the sender has in flight there.
+    pub in_flight: u32,
+}
--- a/bulrushspread/src/batch/mod.rs
+++ b/bulrushspread/src/batch/mod.rs
@@ -1,6 +1,11 @@
 //! Batch jobs: their lanes, ledgers, runners and results.
 
+pub mod api;
+pub mod handle;
 pub mod message;
 pub mod settings;
+pub(crate) mod task;
+pub mod view;
 
+pub use handle::Handle;
 pub use settings::Settings;
--- /dev/null
+++ b/bulrushspread/src/config/handle.rs
@@ -0,0 +1,53 @@
+//! What the slices use of the configuration.
+
+use std::sync::Arc;
+
+use tokio::sync::watch;
+
+use crate::id::Offset;
+
+use super::Document;
+
+/// The document in force on this node.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct InForce {
+    /// The offset in the configuration stream up to which the document is folded.
+    pub offset: Offset,
+    pub document: Document,
+}
+
+/// Gives the document in force and tells of changes.
+#[derive(Clone)]
+pub struct Handle {
+    /// Only ever replaced by a document of a higher offset.
+    current: watch::Sender<Arc<InForce>>,
+}
+
+impl Default for Handle {
+    fn default() -> Handle {
+        Handle { current: watch::channel(Arc::default()).0 }
+    }
+}
+
+impl Handle {
+    /// The document in force.
+    pub fn current(&self) -> Arc<InForce> {
+        self.current.borrow().clone()
+    }
+
+    /// A receiver that sees each change of the document in force.
+    pub fn watch(&self) -> watch::Receiver<Arc<InForce>> {
+        self.current.subscribe()
+    }
+
+    /// Puts a document in force, unless the one in force is as new.
+    pub fn put(&self, next: InForce) {
+        self.current.send_if_modified(|current| {
+            let newer = next.offset > current.offset;
+            if newer {
+                *current = Arc::new(next);
+            }
+            newer
+        });
+    }
+}
--- a/bulrushspread/src/error.rs
+++ b/bulrushspread/src/error.rs
@@ -25,6 +25,7 @@
     Draining,
     InProgress,
     LogUnavailable,
+    Unconfirmed,
     NoUpstream,
     UpstreamFailed,
     OutcomeUnknown,
@@ -61,7 +62,7 @@
 }
 
 impl Kind {
-    pub const ALL: [Kind; 17] = [
+    pub const ALL: [Kind; 18] = [
         Kind::BadRequest,
         Kind::Unauthorized,
         Kind::Forbidden,
@@ -74,6 +75,7 @@
         Kind::Draining,
         Kind::InProgress,
         Kind::LogUnavailable,
+        Kind::Unconfirmed,
         Kind::NoUpstream,
         Kind::UpstreamFailed,
         Kind::OutcomeUnknown,
@@ -101,6 +103,7 @@
             Kind::LogUnavailable => {
                 (503, "log_unavailable", NotRun, Retryable, Some(Millis(5_000)))
             }
+            Kind::Unconfirmed => (503, "unconfirmed", MayHaveRun, Retryable, SECOND),
             Kind::NoUpstream => (503, "no_upstream", NotRun, Retryable, SECOND),
             Kind::UpstreamFailed => (502, "upstream_failed", MayHaveRun, Retryable, SECOND),
             Kind::OutcomeUnknown => (502, "outcome_unknown", MayHaveRun, Final, None),
--- a/bulrushspread/src/journal/mod.rs
+++ b/bulrushspread/src/journal/mod.rs
@@ -4,11 +4,14 @@
 //! * [`record`] holds the framing of records inside an append.
 //! * `state` decides what to append, when, and what a lost answer means.
 
+pub mod handle;
 pub mod http;
 pub mod record;
 pub mod settings;
 pub mod store;
+pub(crate) mod task;
 
+pub use handle::{Followed, Handle};
 pub use record::{Entry, Id, Record};
 pub use settings::Settings;
 pub use store::{Page, Store};
--- a/bulrushspread/src/membership/mod.rs
+++ b/bulrushspread/src/membership/mod.rs
@@ -1,6 +1,9 @@
-//! Which VMs of the system are alive, which are leaving, and what each has in force.
+//! Which VMs of the system are alive, which are leaving, and which upstreams there are.
 
 pub mod message;
 pub mod settings;
+pub(crate) mod task;
+pub mod view;
 
 pub use settings::Settings;
+pub use view::{Handle, View};
--- a/bulrushspread/src/node.rs
+++ b/bulrushspread/src/node.rs
@@ -1,15 +1,18 @@
-//! One node: the context that the slices share, and the start of their tasks.
+//! One node: the context that the slices share, and the start and stop of their tasks.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use async_trait::async_trait;
-use std::net::SocketAddr;
+use tokio::{signal::unix, sync::watch};
 
 use crate::{
+    admit, attempt, batch, config, gateway,
     id::Incarnation,
-    journal,
+    journal, membership,
     metrics::{self, Metrics},
+    operator,
     peer::{Message, Transport, message::Envelope, transport::Handler},
+    placement, route,
     settings::Settings,
     time::Clock,
     upstream, vms,
@@ -18,23 +21,49 @@
 pub type Result<T> = anyhow::Result<T>;
 pub type Shared = Arc<Context>;
 
+/// Where a node stands between start and end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    Starting,
+    Serving,
+    /// Takes no new requests or duties; finishes or hands over what it has.
+    Draining,
+}
+
 /// What every slice of one node can reach.
 pub struct Context {
     pub settings: Settings,
     pub clock: Clock,
     pub incarnation: Incarnation,
     pub metrics: Metrics,
+    pub phase: watch::Sender<Phase>,
     pub log: journal::store::Shared,
     pub vms: vms::Shared,
     pub upstreams: upstream::Shared,
     pub peer: Arc<Transport>,
+    pub admit: admit::Handle,
+    pub attempt: attempt::Handle,
+    pub batch: batch::Handle,
+    pub config: config::Handle,
+    pub journal: journal::Handle,
+    pub membership: membership::Handle,
+    pub route: route::Handle,
 }
 
-/// Runs a node until it is told to stop.
+/// Runs a node until it is told to stop by SIGTERM or SIGINT.
 pub async fn run(settings: Settings) -> Result<()> {
     let context = Arc::new(build(settings)?);
     let peer = context.peer.clone();
-    peer.serve(Arc::new(Dispatch(context))).await;
+    let dispatch = Arc::new(Dispatch(context.clone()));
+    tokio::spawn(async move { peer.serve(dispatch).await });
+    start(&context).await?;
+    context.phase.send_replace(Phase::Serving);
+    log::info!("node {} serves", context.settings.vm);
+    wait_for_signal().await?;
+    context.phase.send_replace(Phase::Draining);
+    log::info!("node {} drains", context.settings.vm);
+    stop(&context).await;
+    context.peer.close();
     Ok(())
 }
 
@@ -42,43 +71,85 @@
     let clock = Clock::default();
     let incarnation = Incarnation(clock.wall().0);
     let statsd = settings.telemetry.statsd.map(|address| address.to_string());
-    let metrics = metrics::connect(statsd.as_deref())?;
-    let log = Arc::new(journal::http::Http::new(settings.platform.log));
-    let vms = Arc::new(vms::http::Http::new(settings.platform.vm_list));
-    let upstreams = Arc::new(upstream::http::Http::default());
-    let peer = Arc::new(Transport::bind(&settings.peer, settings.vm.clone(), incarnation)?);
-    Ok(Context { settings, clock, incarnation, metrics, log, vms, upstreams, peer })
+    let peer = Transport::bind(&settings.peer, settings.vm.clone(), incarnation)?;
+    Ok(Context {
+        clock,
+        incarnation,
+        metrics: metrics::connect(statsd.as_deref())?,
+        phase: watch::channel(Phase::Starting).0,
+        log: Arc::new(journal::http::Http::new(settings.platform.log)),
+        vms: Arc::new(vms::http::Http::new(settings.platform.vm_list)),
+        upstreams: Arc::new(upstream::http::Http::default()),
+        peer: Arc::new(peer),
+        admit: admit::Handle::default(),
+        attempt: attempt::Handle::default(),
+        batch: batch::Handle::default(),
+        config: config::Handle::default(),
+        journal: journal::Handle::default(),
+        membership: membership::Handle::default(),
+        route: route::Handle::default(),
+        settings,
+    })
+}
+
+/// Starts the slices: those that others rest on first, the listeners last.
+async fn start(context: &Shared) -> Result<()> {
+    journal::task::start(context).await?;
+    membership::task::start(context).await?;
+    config::task::start(context).await?;
+    route::task::start(context).await?;
+    admit::task::start(context).await?;
+    attempt::task::start(context).await?;
+    batch::task::start(context).await?;
+    placement::task::start(context).await?;
+    operator::task::start(context).await?;
+    gateway::task::start(context).await
+}
+
+/// Stops the slices: callers first, so that nothing in flight is cut off.
+async fn stop(context: &Shared) {
+    gateway::task::stop(context).await;
+    batch::task::stop(context).await;
+    membership::task::stop(context).await;
+    operator::task::stop(context).await;
+}
+
+async fn wait_for_signal() -> Result<()> {
+    let mut terminate = unix::signal(unix::SignalKind::terminate())?;
+    let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
 }
 
 /// Hands what other nodes say to the slice that it concerns.
 struct Dispatch(Shared);
 
-#[async_trait]
-impl Handler for Dispatch {
-    async fn datagram(&self, envelope: Envelope, _from: SocketAddr) {
+impl Dispatch {
+    async fn serve(&self, envelope: Envelope, from: SocketAddr) -> Message {
+        let context = &self.0;
+        let from = (envelope.from, from);
         match envelope.message {
-            Message::Admit(message) => match message {},
-            Message::Attempt(message) => match message {},
-            Message::Batch(message) => match message {},
-            Message::Config(message) => match message {},
-            Message::Membership(message) => match message {},
-            Message::Route(message) => match message {},
-            Message::Done | Message::Failed(_) => {}
+            Message::Admit(message) => admit::task::serve(context, from, message).await,
+            Message::Attempt(message) => attempt::task::serve(context, from, message).await,
+            Message::Batch(message) => batch::task::serve(context, from, message).await,
+            Message::Config(message) => config::task::serve(context, from, message).await,
+            Message::Membership(message) => membership::task::serve(context, from, message).await,
+            Message::Route(message) => route::task::serve(context, from, message).await,
+            Message::Done | Message::Failed(_) => Message::Done,
         }
     }
+}
 
-    async fn request(&self, envelope: Envelope, _from: SocketAddr) -> Message {
-        match envelope.message {
-            Message::Admit(message) => match message {},
-            Message::Attempt(message) => match message {},
-            Message::Batch(message) => match message {},
-            Message::Config(message) => match message {},
-            Message::Membership(message) => match message {},
-            Message::Route(message) => match message {},
-            Message::Done | Message::Failed(_) => {
-                let _ = &self.0;
-                Message::Done
-            }
-        }
+#[async_trait]
+impl Handler for Dispatch {
+    async fn datagram(&self, envelope: Envelope, from: SocketAddr) {
+        self.serve(envelope, from).await;
+    }
+
+    async fn request(&self, envelope: Envelope, from: SocketAddr) -> Message {
+        self.serve(envelope, from).await
     }
 }
--- /dev/null
+++ b/bulrushspread/src/operator/task.rs
@@ -0,0 +1,13 @@
+//! The tasks of this slice.
+
+use crate::node::Shared;
+
+pub(crate) type Result<T> = anyhow::Result<T>;
+
+/// Starts the tasks of the slice.
+pub(crate) async fn start(_context: &Shared) -> Result<()> {
+    Ok(())
+}
+
+/// Stops the slice and waits until nothing of it is in flight.
+pub(crate) async fn stop(_context: &Shared) {}
