--- a/bulrushspread/src/batch/mod.rs
+++ b/bulrushspread/src/batch/mod.rs
@@ -3,6 +3,8 @@
 pub mod api;
 pub mod handle;
 pub mod message;
+pub mod owner;
+pub mod runner;
 pub mod settings;
 pub(crate) mod task;
 pub mod view;
--- /dev/null
+++ b/bulrushspread/src/batch/owner/mod.rs
@@ -0,0 +1,6 @@
+//! The owner of a lane: holds the ledger of the lane's jobs and hands items to runners.
+
+pub mod handle;
+pub(crate) mod task;
+
+pub use handle::Handle;
--- a/bulrushspread/src/batch/task.rs
+++ b/bulrushspread/src/batch/task.rs
@@ -4,29 +4,41 @@
 
 use crate::{id::Vm, node::Shared, peer::message::Message as PeerMessage};
 
-use super::message::Message;
+use super::{message::Message, owner, runner};
 
 pub(crate) type Result<T> = anyhow::Result<T>;
 
 /// Starts the tasks of the slice.
-pub(crate) async fn start(_context: &Shared) -> Result<()> {
-    Ok(())
+pub(crate) async fn start(context: &Shared) -> Result<()> {
+    owner::task::start(context).await?;
+    runner::task::start(context).await
 }
 
 /// Stops the slice and waits until nothing of it is in flight.
-pub(crate) async fn stop(_context: &Shared) {}
+pub(crate) async fn stop(context: &Shared) {
+    runner::task::stop(context).await;
+    owner::task::stop(context).await;
+}
 
 /// Serves a message of another node. What it returns answers a request.
 pub(crate) async fn serve(
-    _context: &Shared,
-    _from: (Vm, SocketAddr),
+    context: &Shared,
+    (vm, _): (Vm, SocketAddr),
     message: Message,
 ) -> PeerMessage {
     match message {
-        Message::Pull(_)
-        | Message::Grant(_)
-        | Message::Outcomes(_)
-        | Message::Stop(_)
-        | Message::Yield(_) => PeerMessage::Done,
+        Message::Pull(pull) => {
+            let grant = owner::task::pull(context, &vm, pull).await;
+            return PeerMessage::Batch(Message::Grant(grant));
+        }
+        Message::Outcomes(outcomes) => {
+            if let Err(error) = owner::task::outcomes(context, &vm, outcomes).await {
+                return PeerMessage::Failed(error.to_string());
+            }
+        }
+        Message::Stop(stop) => runner::task::stop_items(context, stop).await,
+        Message::Yield(yield_to) => runner::task::make_room(context, &vm, yield_to),
+        Message::Grant(_) => {}
     }
+    PeerMessage::Done
 }
--- a/bulrushspread/src/node.rs
+++ b/bulrushspread/src/node.rs
@@ -1,13 +1,17 @@
 //! One node: the context that the slices share, and the start and stop of their tasks.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, OnceLock},
+};
 
 use async_trait::async_trait;
+use serde::{Deserialize, Serialize};
 use tokio::{signal::unix, sync::watch};
 
 use crate::{
     admit, attempt, batch, config, gateway,
-    id::Incarnation,
+    id::{Incarnation, Vm},
     journal, membership,
     metrics::{self, Metrics},
     operator,
@@ -30,6 +34,15 @@
     Draining,
 }
 
+/// The addresses that the listeners got. Written to stdout as one JSON line once all listen.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ready {
+    pub vm: Vm,
+    pub gateway: SocketAddr,
+    pub operator: SocketAddr,
+    pub peer: SocketAddr,
+}
+
 /// What every slice of one node can reach.
 pub struct Context {
     pub settings: Settings,
@@ -37,6 +50,10 @@
     pub incarnation: Incarnation,
     pub metrics: Metrics,
     pub phase: watch::Sender<Phase>,
+    /// Set by the gateway once it listens.
+    pub gateway_address: OnceLock<SocketAddr>,
+    /// Set by the operator slice once it listens.
+    pub operator_address: OnceLock<SocketAddr>,
     pub log: journal::store::Shared,
     pub vms: vms::Shared,
     pub upstreams: upstream::Shared,
@@ -58,6 +75,7 @@
     tokio::spawn(async move { peer.serve(dispatch).await });
     start(&context).await?;
     context.phase.send_replace(Phase::Serving);
+    println!("{}", serde_json::to_string(&ready(&context)?)?);
     log::info!("node {} serves", context.settings.vm);
     wait_for_signal().await?;
     context.phase.send_replace(Phase::Draining);
@@ -77,6 +95,8 @@
         incarnation,
         metrics: metrics::connect(statsd.as_deref())?,
         phase: watch::channel(Phase::Starting).0,
+        gateway_address: OnceLock::new(),
+        operator_address: OnceLock::new(),
         log: Arc::new(journal::http::Http::new(settings.platform.log)),
         vms: Arc::new(vms::http::Http::new(settings.platform.vm_list)),
         upstreams: Arc::new(upstream::http::Http::default()),
@@ -114,6 +134,16 @@
     operator::task::stop(context).await;
 }
 
+fn ready(context: &Context) -> Result<Ready> {
+    let listen = &context.settings;
+    Ok(Ready {
+        vm: listen.vm.clone(),
+        gateway: *context.gateway_address.get().unwrap_or(&listen.gateway.listen),
+        operator: *context.operator_address.get().unwrap_or(&listen.operator.listen),
+        peer: context.peer.local_address()?,
+    })
+}
+
 async fn wait_for_signal() -> Result<()> {
     let mut terminate = unix::signal(unix::SignalKind::terminate())?;
     let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
