--- a/bulrushspread/src/main.rs
+++ b/bulrushspread/src/main.rs
@@ -21,6 +21,9 @@
         #[bpaf(positional("FILE"))]
         file: PathBuf,
     },
+    /// Prints the JSON Schema of the settings file.
+    #[bpaf(command)]
+    Schema,
 }
 
 fn main() -> ExitCode {
@@ -45,5 +48,9 @@
             println!("{} is valid", file.display());
             Ok(())
         }
+        Command::Schema => {
+            println!("{}", serde_json::to_string_pretty(&Settings::schema())?);
+            Ok(())
+        }
     }
 }
--- a/bulrushspread/src/settings.rs
+++ b/bulrushspread/src/settings/mod.rs
@@ -1,6 +1,8 @@
 //! The settings file of the daemon: one JSON document, checked before anything starts.
 
-use std::{fs, net::SocketAddr, path::Path};
+mod check;
+
+use std::{fmt, fs, net::SocketAddr, path::Path};
 
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -13,16 +15,40 @@
 
 pub type Result<T> = std::result::Result<T, Error>;
 
-/// What is wrong with a settings file and where.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("{path}: {message}")]
-pub struct Error {
+/// One thing that is wrong with a settings file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Problem {
     /// The path of the key, such as `peer.listen`.
     pub path: String,
     /// What is wrong and what would be valid.
     pub message: String,
 }
 
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.path, self.message)
+    }
+}
+
+/// All that is wrong with a settings file. Never empty.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub struct Error {
+    pub problems: Vec<Problem>,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let lines: Vec<String> = self.problems.iter().map(Problem::to_string).collect();
+        f.write_str(&lines.join("\n"))
+    }
+}
+
+impl Error {
+    fn one(path: impl ToString, message: String) -> Error {
+        Error { problems: vec![Problem { path: path.to_string(), message }] }
+    }
+}
+
 /// All settings of one node.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -77,27 +103,34 @@
 impl Settings {
     /// Reads and checks the file at `path`.
     pub fn load(path: &Path) -> Result<Settings> {
-        let text = fs::read_to_string(path).map_err(|error| Error {
-            path: path.display().to_string(),
-            message: format!("can't be read: {error}"),
-        })?;
+        let text = fs::read_to_string(path)
+            .map_err(|error| Error::one(path.display(), format!("can't be read: {error}")))?;
         Settings::parse(&text)
     }
 
     /// Parses and checks the text of a settings file.
     pub fn parse(text: &str) -> Result<Settings> {
         let mut deserializer = serde_json::Deserializer::from_str(text);
-        let settings: Settings =
-            serde_path_to_error::deserialize(&mut deserializer).map_err(|error| Error {
-                path: error.path().to_string(),
-                message: error.inner().to_string(),
-            })?;
-        settings.check()?;
+        let settings: Settings = serde_path_to_error::deserialize(&mut deserializer)
+            .map_err(|error| Error::one(error.path(), with_example(error.inner())))?;
+        let problems = check::check(&settings);
+        if !problems.is_empty() {
+            return Err(Error { problems });
+        }
         Ok(settings)
     }
 
-    /// Refuses values that parse but can't work together.
-    fn check(&self) -> Result<()> {
-        Ok(())
+    /// The JSON Schema of the settings file.
+    pub fn schema() -> schemars::schema::RootSchema {
+        schemars::schema_for!(Settings)
+    }
+}
+
+/// The parser's message, with an example where it names no valid form.
+fn with_example(error: &serde_json::Error) -> String {
+    let message = error.to_string();
+    if message.contains("socket address") {
+        return format!("{message}; use an IP address and a port, such as 10.0.0.1:8080");
     }
+    message
 }
