--- a/bulrushspread/src/node.rs
+++ b/bulrushspread/src/node.rs
@@ -18,6 +18,7 @@
     peer::{Message, Transport, message::Envelope, transport::Handler},
     placement, route,
     settings::Settings,
+    telemetry::trace,
     time::Clock,
     upstream, vms,
 };
@@ -69,6 +70,7 @@
 
 /// Runs a node until it is told to stop by SIGTERM or SIGINT.
 pub async fn run(settings: Settings) -> Result<()> {
+    let traces = trace::start(settings.telemetry.otlp.as_deref(), &settings.vm)?;
     let context = Arc::new(build(settings)?);
     let peer = context.peer.clone();
     let dispatch = Arc::new(Dispatch(context.clone()));
@@ -82,6 +84,9 @@
     log::info!("node {} drains", context.settings.vm);
     stop(&context).await;
     context.peer.close();
+    if let Some(traces) = traces {
+        traces.shutdown()?;
+    }
     Ok(())
 }
 
--- a/bulrushspread/src/telemetry.rs
+++ b/bulrushspread/src/telemetry/mod.rs
@@ -1,5 +1,7 @@
 //! Logs, metrics and traces of the process.
 
+pub mod trace;
+
 use std::{io::Write, net::SocketAddr};
 
 use schemars::JsonSchema;
