--- a/bulrushspread/src/config/handle.rs
+++ b/bulrushspread/src/config/handle.rs
@@ -1,12 +1,15 @@
 //! What the slices use of the configuration.
 
-use std::sync::Arc;
+use std::sync::{
+    Arc, Mutex, MutexGuard, PoisonError,
+    atomic::{AtomicBool, Ordering},
+};
 
 use tokio::sync::watch;
 
 use crate::id::Offset;
 
-use super::Document;
+use super::{Document, message::Head, reader::Reader};
 
 /// The document in force on this node.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -21,11 +24,20 @@
 pub struct Handle {
     /// Only ever replaced by a document of a higher offset.
     current: watch::Sender<Arc<InForce>>,
+    reader: Arc<Mutex<Reader>>,
+    head: watch::Sender<Head>,
+    /// A pull from a peer is under way; no second one starts.
+    pulling: Arc<AtomicBool>,
 }
 
 impl Default for Handle {
     fn default() -> Handle {
-        Handle { current: watch::channel(Arc::default()).0 }
+        Handle {
+            current: watch::channel(Arc::default()).0,
+            reader: Arc::default(),
+            head: watch::channel(Head::default()).0,
+            pulling: Arc::default(),
+        }
     }
 }
 
@@ -50,4 +62,25 @@
             newer
         });
     }
+
+    /// How far this node has folded the stream.
+    pub fn head(&self) -> Head {
+        *self.head.borrow()
+    }
+
+    pub(crate) fn reader(&self) -> MutexGuard<'_, Reader> {
+        self.reader.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(super) fn put_head(&self, head: Head) {
+        self.head.send_replace(head);
+    }
+
+    pub(super) fn begin_pull(&self) -> bool {
+        !self.pulling.swap(true, Ordering::AcqRel)
+    }
+
+    pub(super) fn end_pull(&self) {
+        self.pulling.store(false, Ordering::Release);
+    }
 }
--- a/bulrushspread/src/node.rs
+++ b/bulrushspread/src/node.rs
@@ -65,6 +65,7 @@
     pub config: config::Handle,
     pub journal: journal::Handle,
     pub membership: membership::Handle,
+    pub operator: operator::Handle,
     pub route: route::Handle,
 }
 
@@ -112,6 +113,7 @@
         config: config::Handle::default(),
         journal: journal::Handle::default(),
         membership: membership::Handle::default(),
+        operator: operator::Handle::default(),
         route: route::Handle::default(),
         settings,
     })
