feat(standins): stand-ins for the platform, engines and plain services

Cause: the slices need processes to talk to before the users' own platform is at hand.

Ruled out: dropshot for the stand-ins, since some answers must be lost or broken on purpose; hyper's connection lets a handler close without an answer.

Change: log service, VM list, engine, plain service, weight store and fault proxy as library modules with settings set at run time through /control, and one binary with a subcommand each.

Seen: by hand, a lost append answer stands in the stream, a broken stream resumes at its index, the proxy delays and refuses.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,1 +1,13 @@
 //! Stand-ins for the platform and the upstreams, for tests, the demo and experiments.
+//!
+//! Each stand-in is a small HTTP server whose faults are set at run time by `POST /control` and
+//! whose counts are read by `GET /control`.
+
+pub mod engine;
+pub mod log_service;
+pub mod plain;
+pub mod proxy;
+pub mod role;
+pub mod vm_list;
+pub mod web;
+pub mod weights;
