--- a/bulrushspread/src/peer/mod.rs
+++ b/bulrushspread/src/peer/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod message;
 pub mod settings;
+pub mod traffic;
 pub mod transport;
 
 pub use message::Message;
--- a/bulrushspread/src/peer/transport.rs
+++ b/bulrushspread/src/peer/transport.rs
@@ -26,6 +26,7 @@
 use super::{
     Settings,
     message::{Envelope, Message},
+    traffic::{Bytes, Traffic},
 };
 
 pub type Result<T> = anyhow::Result<T>;
@@ -55,7 +56,9 @@
     incarnation: Incarnation,
     endpoint: Endpoint,
     timeout: Duration,
+    /// Connections that this node opened.
     connections: Mutex<BTreeMap<SocketAddr, Connection>>,
+    traffic: Traffic,
 }
 
 impl Transport {
@@ -71,6 +74,7 @@
             endpoint,
             timeout: Duration::from_millis(settings.timeout_ms),
             connections: Mutex::default(),
+            traffic: Traffic::default(),
         })
     }
 
@@ -93,9 +97,13 @@
     pub async fn serve(&self, handler: Arc<dyn Handler>) {
         while let Some(incoming) = self.endpoint.accept().await {
             let handler = handler.clone();
+            let traffic = self.traffic.clone();
             tokio::spawn(async move {
                 match incoming.await {
-                    Ok(connection) => serve_connection(connection, handler).await,
+                    Ok(connection) => {
+                        traffic.watch(&connection);
+                        serve_connection(connection, handler).await;
+                    }
                     Err(error) => log::debug!("peer: a connection was not accepted: {error}"),
                 }
             });
@@ -119,6 +127,11 @@
         }
     }
 
+    /// Bytes exchanged with other nodes since the start.
+    pub fn traffic(&self) -> Bytes {
+        self.traffic.total()
+    }
+
     /// Closes all connections.
     pub fn close(&self) {
         self.endpoint.close(VarInt::from_u32(0), b"closing");
@@ -146,6 +159,7 @@
         let connection = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
             .await
             .map_err(|_| anyhow!("{to} did not accept a connection in {CONNECT_TIMEOUT:?}"))??;
+        self.traffic.watch(&connection);
         self.connections.lock().unwrap().insert(to, connection.clone());
         Ok(connection)
     }
