feat(standins): harness that runs a fleet of real processes

Cause: tests, the demo and experiments need the same fleet: keys, settings, processes, the VM list, faults, callers and operators.

Ruled out: starting the daemon's own binary from another package, which a test of this package can't name and may find stale; executables of this package start themselves again instead.

--- /dev/null
+++ b/standins/src/fleet/mod.rs
@@ -0,0 +1,254 @@
+//! A fleet of real processes: the platform's stand-ins, upstreams and nodes.
+//!
+//! Tests, the demo and experiments share it. All processes end when the fleet is dropped.
+
+mod caller;
+mod keys;
+mod node;
+mod operator;
+mod plan;
+mod process;
+mod standin;
+
+use std::{collections::BTreeMap, env, net::SocketAddr, path::PathBuf, time::Duration};
+
+use bulrushspread::{
+    config::Piece,
+    id::{DataCentre, Team, Vm},
+    vms::{Listed, Phase, Role},
+};
+use futures_util::future::try_join_all;
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+use crate::{client::Client, wait::wait_until};
+
+pub use caller::{Caller, Chat, chat_item};
+pub use node::Node;
+pub use plan::{
+    CALLER_KEY, DEPLOYMENT, ENVIRONMENT, MODEL, OPERATOR_TOKEN, Plan, Proxied, SERVICE, WORKSPACE,
+    digest,
+};
+pub use process::{Process, Program};
+pub use standin::{Proxy, Standin};
+
+pub type Result<T> = anyhow::Result<T>;
+
+/// Time within which a fleet must be ready to serve.
+const START_BOUND: Duration = Duration::from_secs(20);
+/// Set to keep the directory with settings and logs.
+const KEEP_VARIABLE: &str = "STANDINS_KEEP";
+
+/// One upstream process and what the VM list says of it.
+pub struct Replica {
+    pub vm: Vm,
+    pub standin: Standin,
+    /// Between the nodes and the upstream, where the plan asks for it.
+    pub proxy: Option<Proxy>,
+    pub phase: Phase,
+    serves: String,
+    data_centre: DataCentre,
+}
+
+impl Replica {
+    fn address(&self) -> SocketAddr {
+        self.proxy.as_ref().map_or(self.standin.address, |proxy| proxy.address)
+    }
+
+    fn listed(&self) -> Listed {
+        Listed {
+            vm: self.vm.clone(),
+            address: self.address(),
+            data_centre: self.data_centre.clone(),
+            phase: self.phase,
+            role: Role::Upstream { serves: self.serves.clone() },
+        }
+    }
+}
+
+/// Running processes.
+pub struct Fleet {
+    pub plan: Plan,
+    pub client: Client,
+    pub log: Standin,
+    pub vm_list: Standin,
+    pub nodes: Vec<Node>,
+    pub engines: Vec<Replica>,
+    pub plains: Vec<Replica>,
+    /// The version of each piece as last published.
+    versions: BTreeMap<Team, Value>,
+    keys: keys::Authority,
+    directory: Directory,
+}
+
+/// The directory with settings, keys and logs.
+struct Directory {
+    path: PathBuf,
+    /// Deletes the directory when dropped.
+    _guard: Option<TempDir>,
+}
+
+impl Directory {
+    fn create() -> Result<Directory> {
+        let guard = tempfile::Builder::new().prefix("fleet-").tempdir()?;
+        if env::var_os(KEEP_VARIABLE).is_none() {
+            return Ok(Directory { path: guard.path().to_path_buf(), _guard: Some(guard) });
+        }
+        let path = guard.keep();
+        eprintln!("the fleet's files stay in {}", path.display());
+        Ok(Directory { path, _guard: None })
+    }
+}
+
+impl Fleet {
+    /// Starts all processes, publishes the plan's piece and waits until every node serves it.
+    pub async fn start(plan: Plan) -> Result<Fleet> {
+        let mut fleet = Fleet::start_unconfigured(plan).await?;
+        let piece = fleet.plan.piece.clone();
+        fleet.publish(0, &Team::from("platform"), &piece).await?;
+        fleet.wait_ready().await?;
+        Ok(fleet)
+    }
+
+    /// Starts all processes and lists them.
+    pub async fn start_unconfigured(plan: Plan) -> Result<Fleet> {
+        let directory = Directory::create()?;
+        let keys = keys::Authority::create(&directory.path)?;
+        let client = Client::default();
+        let start = |name: &'static str, settings: Value| {
+            Standin::start(&plan.program, &directory.path, name, name, settings)
+        };
+        let log = start("log", serde_json::to_value(&plan.log)?).await?;
+        let vm_list = start("vm-list", serde_json::to_value(&plan.vm_list)?).await?;
+        let mut fleet = Fleet {
+            client,
+            log,
+            vm_list,
+            nodes: Vec::new(),
+            engines: Vec::new(),
+            plains: Vec::new(),
+            versions: BTreeMap::new(),
+            keys,
+            directory,
+            plan,
+        };
+        let engines = (0..fleet.plan.engines).map(|index| fleet.start_engine(index));
+        let engines = try_join_all(engines).await?;
+        let plains = (0..fleet.plan.plains).map(|index| fleet.start_plain(index));
+        let plains = try_join_all(plains).await?;
+        fleet.engines = engines;
+        fleet.plains = plains;
+        fleet.list_vms().await?;
+        let nodes = (0..fleet.plan.nodes).map(|index| fleet.start_node(index));
+        fleet.nodes = try_join_all(nodes).await?;
+        fleet.list_vms().await?;
+        Ok(fleet)
+    }
+
+    /// Starts one more node and lists it.
+    pub async fn add_node(&mut self) -> Result<()> {
+        let node = self.start_node(self.nodes.len()).await?;
+        self.nodes.push(node);
+        self.list_vms().await
+    }
+
+    /// Starts one more engine and lists it.
+    pub async fn add_engine(&mut self) -> Result<()> {
+        let engine = self.start_engine(self.engines.len()).await?;
+        self.engines.push(engine);
+        self.list_vms().await
+    }
+
+    /// Tells the VM list what there is now.
+    pub async fn list_vms(&self) -> Result<()> {
+        let upstreams = self.engines.iter().chain(&self.plains);
+        let nodes = self.nodes.iter().filter(|node| node.listed).map(Node::entry);
+        let vms: Vec<Listed> = upstreams.map(Replica::listed).chain(nodes).collect();
+        self.vm_list.post("/control/vms", &serde_json::to_value(vms)?).await?;
+        Ok(())
+    }
+
+    /// Marks an engine as leaving in the VM list.
+    pub async fn mark_engine_leaving(&mut self, index: usize) -> Result<()> {
+        self.engines[index].phase = Phase::Leaving;
+        self.list_vms().await
+    }
+
+    /// Publishes a team's piece through a node's operator listener.
+    pub async fn publish(&mut self, node: usize, team: &Team, piece: &Piece) -> Result<Value> {
+        let base = self.versions.get(team).cloned().unwrap_or(Value::Null);
+        let body = json!({ "base": base, "piece": piece });
+        let answer = self.nodes[node].put_piece(&self.client, team, &body).await?.success()?;
+        let version = answer.json::<Value>()?["version"].clone();
+        self.versions.insert(team.clone(), version.clone());
+        Ok(version)
+    }
+
+    /// Waits until every running node serves the plan's model and service.
+    pub async fn wait_ready(&self) -> Result<()> {
+        for node in self.nodes.iter().filter(|node| node.process.is_running()) {
+            let what = format!("{} serves the plan's document", node.vm);
+            wait_until(&what, START_BOUND, || async {
+                node.is_ready(&self.client, &self.plan).await.then_some(())
+            })
+            .await?;
+        }
+        Ok(())
+    }
+
+    /// A caller of a node.
+    pub fn caller(&self, node: usize) -> Caller {
+        Caller::new(self.client.clone(), self.nodes[node].ready.gateway, CALLER_KEY)
+    }
+
+    /// The ends of all nodes' logs, for the message of a failed test.
+    pub fn diagnosis(&self) -> String {
+        let tails = self.nodes.iter().map(|node| format!("== {}\n{}\n", node.vm, node.log_tail()));
+        tails.collect()
+    }
+
+    async fn start_node(&self, index: usize) -> Result<Node> {
+        let place = node::Place {
+            vm: Vm(format!("entry-{index}")),
+            data_centre: self.plan.data_centre(index),
+            directory: self.directory.path.clone(),
+            log: self.log.address,
+            vm_list: self.vm_list.address,
+        };
+        Node::start(&self.plan, &self.keys, place).await
+    }
+
+    async fn start_engine(&self, index: usize) -> Result<Replica> {
+        let settings = serde_json::to_value(&self.plan.engine)?;
+        self.start_replica("engine", index, settings, DEPLOYMENT).await
+    }
+
+    async fn start_plain(&self, index: usize) -> Result<Replica> {
+        let settings = serde_json::to_value(&self.plan.plain)?;
+        self.start_replica("plain", index, settings, SERVICE).await
+    }
+
+    async fn start_replica(
+        &self,
+        role: &'static str,
+        index: usize,
+        settings: Value,
+        serves: &str,
+    ) -> Result<Replica> {
+        let name = format!("{role}-{index}");
+        let (program, directory) = (&self.plan.program, &self.directory.path);
+        let standin = Standin::start(program, directory, role, &name, settings).await?;
+        let proxy = match self.plan.proxied.upstreams {
+            true => Some(Proxy::start(program, directory, &name, Some(standin.address)).await?),
+            false => None,
+        };
+        Ok(Replica {
+            vm: Vm(name),
+            standin,
+            proxy,
+            phase: Phase::Live,
+            serves: serves.to_string(),
+            data_centre: self.plan.data_centre(index),
+        })
+    }
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,11 +3,14 @@
 //! Each stand-in is a small HTTP server whose faults are set at run time by `POST /control` and
 //! whose counts are read by `GET /control`.
 
+pub mod client;
 pub mod engine;
+pub mod fleet;
 pub mod log_service;
 pub mod plain;
 pub mod proxy;
 pub mod role;
 pub mod vm_list;
+pub mod wait;
 pub mod web;
 pub mod weights;
--- a/standins/src/role.rs
+++ b/standins/src/role.rs
@@ -8,7 +8,10 @@
 use bpaf::Bpaf;
 use bulrushspread::{node, settings::Settings, telemetry};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
-use tokio::net::TcpListener;
+use tokio::{
+    net::TcpListener,
+    runtime::{Builder, Runtime},
+};
 
 use crate::{engine, log_service, plain, proxy, vm_list, weights};
 
@@ -104,15 +107,14 @@
 }
 
 fn run(role: Role) -> Result<()> {
-    let runtime = tokio::runtime::Runtime::new()?;
     if let Role::Node { until_stdin_closes, file } = role {
         tie_to_stdin(until_stdin_closes);
         let settings = Settings::load(&file)?;
         telemetry::start_log(&settings.telemetry.log);
-        return runtime.block_on(node::run(settings));
+        return Runtime::new()?.block_on(node::run(settings));
     }
     telemetry::start_log(LOG_FILTER);
-    runtime.block_on(serve(role))
+    Builder::new_current_thread().enable_all().build()?.block_on(serve(role))
 }
 
 async fn serve(role: Role) -> Result<()> {
