feat(batch): runners that pull items, yield to online work and resume

Cause: nothing put batch work on replicas. Change: one runner per replica (rendezvous over live nodes). Its decisions are a state machine: small pulls, most urgent first, few prefills at once, cancel of all batch streams on an online dispatch by any node, resume at the position, warnings for the next replicas of the common order, suspects run alone after an upstream died, a time limit per item, items given back on a stop. The edge runs items at engines and plain services, and tells owners of outcomes until these are taken over. `Yield` says how close online work came and carries a sequence number, since datagrams may arrive out of order. Ruled out: acting on the engine's lagged count as a sign of online work; it still shows batch streams that were just cancelled, so it only backs off when it exceeds the slots. Not run against real engines or owners yet.

--- a/bulrushspread/src/batch/message.rs
+++ b/bulrushspread/src/batch/message.rs
@@ -105,6 +105,15 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Yield {
     pub upstream: Upstream,
-    /// Online requests that the sender has in flight there.
-    pub in_flight: u32,
+    pub arrival: Arrival,
+}
+
+/// How close online work has come to an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Arrival {
+    /// The sender has this many online requests in flight there. The sequence number grows with
+    /// each count of the sender; datagrams may arrive out of order.
+    Here { sequence: u64, in_flight: u32 },
+    /// Online work has reached an upstream just before this one in the common order.
+    Near,
 }
--- /dev/null
+++ b/bulrushspread/src/batch/runner/fleet.rs
@@ -0,0 +1,92 @@
+//! Who runs batch work on which replica, worked out anew when the fleet changes.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use crate::{
+    config::Document,
+    id::{Deployment, Model, Service, Upstream, Vm},
+    membership::{View, view::Replica},
+    rendezvous,
+};
+
+use super::message::{Spec, Target};
+
+/// The runners of all replicas, and the replicas of this node.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Fleet {
+    /// The runner of each replica and where it listens.
+    pub(crate) runners: BTreeMap<Upstream, (Vm, SocketAddr)>,
+    /// Replicas that follow one of this node's in the common order, the nearest first.
+    pub(crate) next: BTreeMap<Upstream, Vec<Upstream>>,
+    pub(crate) own: BTreeMap<Upstream, Spec>,
+    /// Where each replica of this node listens.
+    pub(crate) addresses: BTreeMap<Upstream, SocketAddr>,
+}
+
+impl Fleet {
+    pub(crate) fn new(me: &Vm, view: &View, document: &Document, margin: usize) -> Fleet {
+        let mut fleet = Fleet::default();
+        let vms: Vec<&Vm> =
+            view.nodes.iter().filter(|(_, node)| !node.leaving).map(|(vm, _)| vm).collect();
+        for upstream in view.upstreams.keys() {
+            let Some(runner) = rendezvous::choose(&upstream.0, vms.iter().copied()) else {
+                continue;
+            };
+            let address = view.nodes[runner].address;
+            fleet.runners.insert(upstream.clone(), (runner.clone(), address));
+        }
+        for (upstream, replica) in &view.upstreams {
+            let mine = fleet.runners.get(upstream).is_some_and(|(runner, _)| runner == me);
+            if !mine || replica.leaving {
+                continue;
+            }
+            let Some(spec) = spec(document, replica) else { continue };
+            fleet.own.insert(upstream.clone(), spec);
+            fleet.addresses.insert(upstream.clone(), replica.address);
+            fleet.next.insert(upstream.clone(), next(view, upstream, replica, margin));
+        }
+        fleet
+    }
+}
+
+/// The replicas after `upstream` in the order that online work fills.
+fn next(view: &View, upstream: &Upstream, replica: &Replica, margin: usize) -> Vec<Upstream> {
+    let peers = view
+        .upstreams
+        .iter()
+        .filter(|(_, other)| other.serves == replica.serves && !other.leaving)
+        .map(|(id, _)| id);
+    rendezvous::order(&replica.serves, peers)
+        .into_iter()
+        .skip_while(|id| *id != upstream)
+        .skip(1)
+        .take(margin)
+        .cloned()
+        .collect()
+}
+
+fn spec(document: &Document, replica: &Replica) -> Option<Spec> {
+    let serves = replica.serves.clone();
+    let deployment = Deployment(serves.clone());
+    let service = Service(serves.clone());
+    let pieces = document.pieces.values();
+    pieces
+        .filter_map(|piece| {
+            if let Some(found) = piece.deployments.get(&deployment) {
+                let models: Vec<Model> = found.models.clone();
+                return found.batch.then(|| Spec {
+                    target: Target::Engine,
+                    serves: serves.clone(),
+                    models,
+                    slots: found.slots,
+                });
+            }
+            piece.services.get(&service).map(|found| Spec {
+                target: Target::Service,
+                serves: serves.clone(),
+                models: Vec::new(),
+                slots: found.slots,
+            })
+        })
+        .next()
+}
--- /dev/null
+++ b/bulrushspread/src/batch/runner/supply.rs
@@ -0,0 +1,161 @@
+//! Asks the owners of lanes for items and tells them how items ended.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::atomic::Ordering};
+
+use crate::{
+    batch::{
+        message::{Grant, Message, Outcome, Outcomes, Pull, Room, Ticket, Work},
+        owner,
+    },
+    id::{Lane, Vm},
+    node::Shared,
+    peer, rendezvous,
+    time::Millis,
+};
+
+use super::{message::Event, task};
+
+/// Lanes of the batch jobs.
+const LANES: u16 = 16;
+/// Owners that granted nothing lately which one pull asks.
+const COLD_OWNERS: usize = 4;
+/// Time for which an owner that granted items is asked first.
+const GRANTING_TTL: Millis = Millis(5_000);
+/// Time that an owner may take to grant items.
+const PULL_TIMEOUT: Millis = Millis(500);
+
+/// A lane owner and its lanes.
+#[derive(Clone, Debug)]
+struct Owner {
+    vm: Vm,
+    address: SocketAddr,
+    lanes: Vec<Lane>,
+}
+
+/// Asks owners, one after the other, until the room is filled.
+pub(crate) async fn pull(context: Shared, mut room: Vec<Room>, holding: Vec<Ticket>) {
+    for owner in turn(&context) {
+        if room.is_empty() {
+            break;
+        }
+        let held = holding.iter().filter(|ticket| owner.lanes.contains(&ticket.lane));
+        let pull = Pull {
+            lanes: owner.lanes.clone(),
+            room: room.clone(),
+            holding: held.cloned().collect(),
+        };
+        let work = ask(&context, &owner, pull).await;
+        if work.is_empty() {
+            continue;
+        }
+        let now = context.clock.now();
+        context.batch.runner.edge.granting.lock().unwrap().insert(owner.vm.clone(), now);
+        fill(&mut room, &work);
+        task::feed(&context, Event::Granted(work));
+    }
+    task::feed(&context, Event::Pulled);
+}
+
+/// Tells the owners how items ended.
+pub(crate) async fn tell(context: Shared, outcomes: Vec<Outcome>) {
+    let mut by_lane: BTreeMap<Lane, Vec<Outcome>> = BTreeMap::new();
+    for outcome in outcomes {
+        by_lane.entry(outcome.ticket.lane).or_default().push(outcome);
+    }
+    for (lane, outcomes) in by_lane {
+        tokio::spawn(tell_lane(context.clone(), lane, outcomes));
+    }
+}
+
+async fn tell_lane(context: Shared, lane: Lane, outcomes: Vec<Outcome>) {
+    let tickets = outcomes.iter().map(|outcome| outcome.ticket.clone()).collect();
+    let event = match take_over(&context, lane, Outcomes { outcomes }).await {
+        Ok(()) => Event::TakenOver(tickets),
+        Err(error) => {
+            log::debug!("batch runner: lane {lane} did not take outcomes over: {error:#}");
+            Event::NotTakenOver(tickets)
+        }
+    };
+    task::feed(&context, event);
+    context.batch.runner.edge.changed.notify_waiters();
+}
+
+async fn take_over(context: &Shared, lane: Lane, outcomes: Outcomes) -> anyhow::Result<()> {
+    let owners = owners(context);
+    let owner = owners.iter().find(|owner| owner.lanes.contains(&lane));
+    let Some(owner) = owner else { anyhow::bail!("no node owns the lane") };
+    let me = &context.settings.vm;
+    if owner.vm == *me {
+        return owner::task::outcomes(context, me, outcomes).await;
+    }
+    let message = peer::Message::Batch(Message::Outcomes(outcomes));
+    match context.peer.call(owner.address, message).await? {
+        peer::Message::Done => Ok(()),
+        other => anyhow::bail!("unexpected answer {other:?}"),
+    }
+}
+
+async fn ask(context: &Shared, owner: &Owner, pull: Pull) -> Vec<Work> {
+    let me = &context.settings.vm;
+    if owner.vm == *me {
+        return owner::task::pull(context, me, pull).await.work;
+    }
+    let message = peer::Message::Batch(Message::Pull(pull));
+    let answer = context.peer.call(owner.address, message);
+    match tokio::time::timeout(PULL_TIMEOUT.duration(), answer).await {
+        Ok(Ok(peer::Message::Batch(Message::Grant(Grant { work })))) => work,
+        Ok(Ok(_)) | Ok(Err(_)) | Err(_) => Vec::new(),
+    }
+}
+
+/// The owners to ask now: those that granted lately first, then a few others in turn.
+fn turn(context: &Shared) -> Vec<Owner> {
+    let edge = &context.batch.runner.edge;
+    let now = context.clock.now();
+    let mut granting = edge.granting.lock().unwrap();
+    granting.retain(|_, at| now - *at < GRANTING_TTL);
+    let mut owners = owners(context);
+    if owners.is_empty() {
+        return owners;
+    }
+    let pulls = edge.pulls.fetch_add(1, Ordering::Relaxed) as usize;
+    let first = pulls * COLD_OWNERS % owners.len();
+    owners.rotate_left(first);
+    let (hot, cold): (Vec<Owner>, Vec<Owner>) =
+        owners.into_iter().partition(|owner| granting.contains_key(&owner.vm));
+    hot.into_iter().chain(cold.into_iter().take(COLD_OWNERS)).collect()
+}
+
+/// The owner of each lane, as every node with the same view sees it.
+fn owners(context: &Shared) -> Vec<Owner> {
+    let view = context.membership.view();
+    let vms: Vec<&Vm> =
+        view.nodes.iter().filter(|(_, node)| !node.leaving).map(|(vm, _)| vm).collect();
+    let mut owners: BTreeMap<&Vm, Vec<Lane>> = BTreeMap::new();
+    for lane in (0..LANES).map(Lane) {
+        if let Some(vm) = rendezvous::choose(&format!("lane-{lane}"), vms.iter().copied()) {
+            owners.entry(vm).or_default().push(lane);
+        }
+    }
+    owners
+        .into_iter()
+        .map(|(vm, lanes)| Owner { vm: vm.clone(), address: view.nodes[vm].address, lanes })
+        .collect()
+}
+
+/// Takes granted items off the room. Each is counted once, where its model fits.
+fn fill(room: &mut Vec<Room>, work: &[Work]) {
+    for work in work {
+        let fits = |room: &&mut Room| {
+            room.items > 0
+                && match &work.model {
+                    Some(model) => room.models.contains(model),
+                    None => super::schedule::service(&work.url) == Some(&room.deployment.0),
+                }
+        };
+        if let Some(room) = room.iter_mut().find(fits) {
+            room.items -= 1;
+        }
+    }
+    room.retain(|room| room.items > 0);
+}
