--- a/bulrushspread/src/config/reader.rs
+++ b/bulrushspread/src/config/reader.rs
@@ -96,18 +96,21 @@
     }
 
     /// The document of `environment`: the last readable content of each piece.
-    pub fn document(&mut self, environment: &Environment) -> Document {
+    pub fn document(&self, environment: &Environment) -> Document {
         let Some(declared) = self.state.environments.get(environment) else {
             return Document::default();
         };
-        let mut pieces = BTreeMap::new();
-        for (team, stored) in &declared.pieces {
+        let mut document = Document::default();
+        for (team, stored) in declared.pieces.iter().filter(|(_, it)| it.content.is_some()) {
             let key = (environment.clone(), team.clone());
-            if let Some(piece) = readable(&mut self.readable, key, stored) {
-                pieces.insert(team.clone(), piece);
+            let Some(readable) = self.readable.get(&key) else { continue };
+            let mut piece = readable.piece.clone();
+            if readable.version != stored.version {
+                check::restrict(&mut piece, &stored.claims);
             }
+            document.pieces.insert(team.clone(), piece);
         }
-        Document { pieces }
+        document
     }
 
     /// Whether the current content of a piece could be parsed here.
@@ -143,12 +146,32 @@
         if verdict == Verdict::Checkpoint {
             self.checkpoint = Some(entry.position.offset);
         }
+        if matches!(verdict, Verdict::Accepted { .. }) {
+            self.parse_contents();
+        }
         self.verdicts.insert(entry.position, verdict);
         if self.verdicts.len() > VERDICT_LIMIT {
             self.verdicts.pop_first();
         }
     }
 
+    /// Parses the contents that are new; what can't be parsed leaves the last good content.
+    fn parse_contents(&mut self) {
+        for (environment, declared) in &self.state.environments {
+            for (team, stored) in &declared.pieces {
+                let Some(content) = stored.content.as_deref() else { continue };
+                let key = (environment.clone(), team.clone());
+                let known = self.readable.get(&key).map(|readable| readable.version);
+                if known == Some(stored.version) {
+                    continue;
+                }
+                if let Ok(piece) = serde_json::from_str(content) {
+                    self.readable.insert(key, Readable { version: stored.version, piece });
+                }
+            }
+        }
+    }
+
     fn reached(&mut self, offset: Offset) {
         self.caught_up = true;
         if self.complete() {
@@ -162,6 +185,7 @@
             return;
         }
         self.state = state;
+        self.parse_contents();
         let waiting = std::mem::take(&mut self.waiting);
         self.entries(waiting.into());
     }
@@ -185,21 +209,3 @@
         _ => None,
     }
 }
-
-fn readable(
-    known: &mut BTreeMap<(Environment, Team), Readable>,
-    key: (Environment, Team),
-    stored: &Stored,
-) -> Option<Piece> {
-    let content = stored.content.as_deref()?;
-    if let Some(readable) = known.get(&key).filter(|readable| readable.version == stored.version) {
-        return Some(readable.piece.clone());
-    }
-    if let Ok(piece) = serde_json::from_str::<Piece>(content) {
-        known.insert(key, Readable { version: stored.version, piece: piece.clone() });
-        return Some(piece);
-    }
-    let mut piece = known.get(&key)?.piece.clone();
-    check::restrict(&mut piece, &stored.claims);
-    Some(piece)
-}
--- a/bulrushspread/src/operator/api.rs
+++ b/bulrushspread/src/operator/api.rs
@@ -259,7 +259,7 @@
 }
 
 fn environment_view(context: &Shared, environment: Environment) -> EnvironmentView {
-    let mut reader = context.config.reader();
+    let reader = context.config.reader();
     let document = reader.document(&environment);
     let state = reader.state();
     let declared = state.environments.get(&environment).cloned().unwrap_or_default();
