feat(standins): demo of online and batch work on three nodes

Cause: a newcomer needs one command that shows what the system promises.

Change: the demo binary, which starts its own stand-ins and nodes and checks each promise; batch jobs, results and counts in the harness; upstreams of a fleet in a file of their own.

--- a/standins/src/fleet/caller.rs
+++ b/standins/src/fleet/caller.rs
@@ -57,8 +57,7 @@
     pub async fn chat(&self, prompt: &str, max_tokens: u32) -> Result<String> {
         let call = chat_call(&chat_body(prompt, max_tokens));
         let answer: Value = self.call(call).await?.success()?.json()?;
-        let text = answer["choices"][0]["message"]["content"].as_str();
-        Ok(text.ok_or_else(|| anyhow!("no content in {answer}"))?.to_string())
+        chat_text(&answer)
     }
 
     /// Reads a streamed completion to its end.
@@ -124,8 +123,8 @@
         self.call(Call { path, ..call }).await
     }
 
-    /// Uploads a file of batch items and returns its id.
-    pub async fn upload(&self, lines: &str) -> Result<String> {
+    /// Uploads the lines of a file and returns its id.
+    pub async fn upload_text(&self, lines: &str) -> Result<String> {
         let body = format!(
             "--{BOUNDARY}\r\nContent-Disposition: form-data; name=\"purpose\"\r\n\r\nbatch\r\n\
              --{BOUNDARY}\r\nContent-Disposition: form-data; name=\"file\"; \
@@ -170,18 +169,7 @@
     }
 }
 
-/// The line of a batch item that asks for a chat completion.
-pub fn chat_item(custom_id: &str, prompt: &str, max_tokens: u32) -> String {
-    let item = json!({
-        "custom_id": custom_id,
-        "method": "POST",
-        "url": "/v1/chat/completions",
-        "body": chat_body(prompt, max_tokens),
-    });
-    format!("{item}\n")
-}
-
-fn chat_body(prompt: &str, max_tokens: u32) -> Value {
+pub(crate) fn chat_body(prompt: &str, max_tokens: u32) -> Value {
     json!({
         "model": MODEL,
         "max_tokens": max_tokens,
@@ -189,6 +177,12 @@
     })
 }
 
+/// The text of a whole chat completion.
+pub(crate) fn chat_text(answer: &Value) -> Result<String> {
+    let text = answer["choices"][0]["message"]["content"].as_str();
+    Ok(text.ok_or_else(|| anyhow!("no content in {answer}"))?.to_string())
+}
+
 fn chat_call(body: &Value) -> Call {
     Call::new(Method::POST, "/v1/chat/completions").json(body)
 }
--- a/standins/src/fleet/mod.rs
+++ b/standins/src/fleet/mod.rs
@@ -3,19 +3,22 @@
 //! Tests, the demo and experiments share it. All processes end when the fleet is dropped.
 
 mod caller;
+mod job;
 mod keys;
 mod node;
 mod operator;
 mod plan;
 mod process;
+mod replica;
 mod standin;
 
-use std::{collections::BTreeMap, env, net::SocketAddr, path::PathBuf, time::Duration};
+use std::{collections::BTreeMap, env, path::PathBuf, time::Duration};
 
+use anyhow::Context;
 use bulrushspread::{
     config::Piece,
-    id::{DataCentre, Team, Vm},
-    vms::{Listed, Phase, Role},
+    id::{Team, Vm},
+    vms::{Listed, Phase},
 };
 use futures_util::future::try_join_all;
 use serde_json::{Value, json};
@@ -23,49 +26,26 @@
 
 use crate::{client::Client, wait::wait_until};
 
-pub use caller::{Caller, Chat, chat_item};
+pub use caller::{Caller, Chat};
+pub use job::{Items, Outcome, job_id};
 pub use node::Node;
 pub use plan::{
     CALLER_KEY, DEPLOYMENT, ENVIRONMENT, MODEL, OPERATOR_TOKEN, Plan, Proxied, SERVICE, WORKSPACE,
     digest,
 };
 pub use process::{Process, Program};
+pub use replica::Replica;
 pub use standin::{Proxy, Standin};
 
 pub type Result<T> = anyhow::Result<T>;
 
 /// Time within which a fleet must be ready to serve.
 const START_BOUND: Duration = Duration::from_secs(20);
+/// The team whose piece a fleet publishes first.
+const TEAM: &str = "platform";
 /// Set to keep the directory with settings and logs.
 const KEEP_VARIABLE: &str = "STANDINS_KEEP";
 
-/// One upstream process and what the VM list says of it.
-pub struct Replica {
-    pub vm: Vm,
-    pub standin: Standin,
-    /// Between the nodes and the upstream, where the plan asks for it.
-    pub proxy: Option<Proxy>,
-    pub phase: Phase,
-    serves: String,
-    data_centre: DataCentre,
-}
-
-impl Replica {
-    fn address(&self) -> SocketAddr {
-        self.proxy.as_ref().map_or(self.standin.address, |proxy| proxy.address)
-    }
-
-    fn listed(&self) -> Listed {
-        Listed {
-            vm: self.vm.clone(),
-            address: self.address(),
-            data_centre: self.data_centre.clone(),
-            phase: self.phase,
-            role: Role::Upstream { serves: self.serves.clone() },
-        }
-    }
-}
-
 /// Running processes.
 pub struct Fleet {
     pub plan: Plan,
@@ -104,12 +84,24 @@
     /// Starts all processes, publishes the plan's piece and waits until every node serves it.
     pub async fn start(plan: Plan) -> Result<Fleet> {
         let mut fleet = Fleet::start_unconfigured(plan).await?;
-        let piece = fleet.plan.piece.clone();
-        fleet.publish(0, &Team::from("platform"), &piece).await?;
-        fleet.wait_ready().await?;
+        let served = fleet.configure().await;
+        served.with_context(|| fleet.diagnosis())?;
         Ok(fleet)
     }
 
+    async fn configure(&mut self) -> Result<()> {
+        let piece = self.plan.piece.clone();
+        self.publish(0, &Team::from(TEAM), &piece).await?;
+        self.wait_ready().await
+    }
+
+    /// Starts the fleet and runs a check in it. A failure carries the ends of the nodes' logs.
+    pub async fn run(plan: Plan, check: impl AsyncFnOnce(&mut Fleet) -> Result<()>) -> Result<()> {
+        let mut fleet = Fleet::start(plan).await?;
+        let checked = check(&mut fleet).await;
+        checked.with_context(|| fleet.diagnosis())
+    }
+
     /// Starts all processes and lists them.
     pub async fn start_unconfigured(plan: Plan) -> Result<Fleet> {
         let directory = Directory::create()?;
@@ -196,6 +188,24 @@
         Ok(())
     }
 
+    /// A number that the engines count, summed over those that run.
+    pub async fn engine_count(&self, pointer: &str) -> u64 {
+        let mut sum = 0;
+        for engine in &self.engines {
+            sum += engine.standin.count(pointer).await.unwrap_or_default();
+        }
+        sum
+    }
+
+    /// Waits until an engine has generated tokens for the prompt of this name.
+    pub async fn wait_active(&self, name: &str) -> Result<()> {
+        let pointer = format!("/counts/names/{name}/tokens");
+        wait_until(&format!("{name} runs"), START_BOUND, || async {
+            (self.engine_count(&pointer).await > 0).then_some(())
+        })
+        .await
+    }
+
     /// A caller of a node.
     pub fn caller(&self, node: usize) -> Caller {
         Caller::new(self.client.clone(), self.nodes[node].ready.gateway, CALLER_KEY)
@@ -220,35 +230,15 @@
 
     async fn start_engine(&self, index: usize) -> Result<Replica> {
         let settings = serde_json::to_value(&self.plan.engine)?;
-        self.start_replica("engine", index, settings, DEPLOYMENT).await
+        Replica::start(self.place("engine", index), settings, DEPLOYMENT).await
     }
 
     async fn start_plain(&self, index: usize) -> Result<Replica> {
         let settings = serde_json::to_value(&self.plan.plain)?;
-        self.start_replica("plain", index, settings, SERVICE).await
-    }
-
-    async fn start_replica(
-        &self,
-        role: &'static str,
-        index: usize,
-        settings: Value,
-        serves: &str,
-    ) -> Result<Replica> {
-        let name = format!("{role}-{index}");
-        let (program, directory) = (&self.plan.program, &self.directory.path);
-        let standin = Standin::start(program, directory, role, &name, settings).await?;
-        let proxy = match self.plan.proxied.upstreams {
-            true => Some(Proxy::start(program, directory, &name, Some(standin.address)).await?),
-            false => None,
-        };
-        Ok(Replica {
-            vm: Vm(name),
-            standin,
-            proxy,
-            phase: Phase::Live,
-            serves: serves.to_string(),
-            data_centre: self.plan.data_centre(index),
-        })
+        Replica::start(self.place("plain", index), settings, SERVICE).await
+    }
+
+    fn place(&self, role: &'static str, index: usize) -> replica::Place<'_> {
+        replica::Place { plan: &self.plan, directory: &self.directory.path, role, index }
     }
 }
