feat(experiment): tool for harm to online callers against batch throughput

Change: `experiment harm` runs online work alone, batch work alone and each policy (managed, reserved, unmanaged; three or more settings of its knob) on a fleet of real processes with the same seeded arrivals, and reports percentiles, harm ratios, batch share of idle capacity and the time to make room, as table, JSON and SVG. A fixed split is two deployments, so it needs no code of its own in the product. Runners now repeat what they hold twice a second, for owners that take a lane over, and an outcome that no owner took over is told again after 1 s (was: at the next tick of 20 ms). The tool itself has not been run yet: it needs the online path and the lane owners.

--- a/bulrushspread/src/batch/runner/ending.rs
+++ b/bulrushspread/src/batch/runner/ending.rs
@@ -14,7 +14,7 @@
 };
 
 /// Time after which an owner that has not answered is told again.
-const TELL_INTERVAL: Millis = Millis(3_000);
+const TELL_INTERVAL: Millis = Millis(1_000);
 /// Wait before a run that was refused or broken off starts again.
 const RETRY_WAIT: Millis = Millis(500);
 /// Refused or broken starts after which the item goes back to its owner.
@@ -124,14 +124,6 @@
         }
     }
 
-    pub(super) fn not_taken_over(&mut self, tickets: &[Ticket]) {
-        for ticket in tickets {
-            if let Some(Run { phase: Phase::Ended { told, .. }, .. }) = self.runs.get_mut(ticket) {
-                *told = None;
-            }
-        }
-    }
-
     fn leave(&mut self, upstream: &Upstream, start: &Start) -> Option<Target> {
         let replica = self.replicas.get_mut(upstream)?;
         replica.running.remove(start);
--- a/bulrushspread/src/batch/runner/message.rs
+++ b/bulrushspread/src/batch/runner/message.rs
@@ -113,8 +113,6 @@
     Stop(Vec<Ticket>),
     /// Owners have taken over how these runs ended.
     TakenOver(Vec<Ticket>),
-    /// The owner did not answer; the outcomes are sent again later.
-    NotTakenOver(Vec<Ticket>),
     Tick,
     /// The node leaves: everything goes back.
     Drain,
@@ -128,6 +126,8 @@
     Cancel { start: Start, upstream: Upstream },
     /// Ask the owners of lanes for items.
     Pull { room: Vec<Room>, holding: Vec<Ticket> },
+    /// Tell the owners of lanes what this node holds of theirs.
+    Hold(Vec<Ticket>),
     /// Tell the lanes' owners how runs ended.
     Tell(Vec<Outcome>),
     /// Tell the runners of the next replicas in the common order that online work is near.
--- a/bulrushspread/src/batch/runner/replica.rs
+++ b/bulrushspread/src/batch/runner/replica.rs
@@ -121,9 +121,8 @@
             return 0;
         }
         let limit = match settings.policy {
-            Policy::Unmanaged => self.spec.slots,
             Policy::Managed if self.held(now) => 0,
-            Policy::Managed => settings.streams.min(self.spec.slots),
+            Policy::Managed | Policy::Unmanaged => settings.streams.min(self.spec.slots),
         };
         if self.probing { limit.min(1) } else { limit }
     }
--- a/bulrushspread/src/batch/runner/schedule.rs
+++ b/bulrushspread/src/batch/runner/schedule.rs
@@ -16,12 +16,18 @@
 
 /// The path prefix of items for plain services.
 const SERVICES_PREFIX: &str = "/services/";
+/// Time between two messages to the owners of the items at hand.
+const HOLD_INTERVAL: Millis = Millis(500);
+/// Separates a model's name from its adapter's.
+const ADAPTER_SEPARATOR: char = ':';
 
 impl State {
     /// The deployment or plain service of this node's replicas that can run the item.
     pub(super) fn serves(&self, work: &Work) -> Option<String> {
         let fits = |target: Target, serves: &str, models: &[Model]| match target {
-            Target::Engine => work.model.as_ref().is_some_and(|model| models.contains(model)),
+            Target::Engine => {
+                work.model.as_ref().is_some_and(|model| models.contains(&base(model)))
+            }
             Target::Service => service(&work.url) == Some(serves),
         };
         let specs = self.replicas.values().map(|replica| &replica.spec);
@@ -56,6 +62,15 @@
         actions.push(Action::Pull { room, holding });
     }
 
+    /// Repeats what this node holds, so that no owner takes an item back or starts it elsewhere.
+    pub(super) fn hold(&mut self, now: Millis, actions: &mut Vec<Action>) {
+        if now < self.next_hold || self.runs.is_empty() {
+            return;
+        }
+        self.next_hold = now + HOLD_INTERVAL;
+        actions.push(Action::Hold(self.runs.keys().cloned().collect()));
+    }
+
     fn rooms(&self, now: Millis) -> Vec<Room> {
         let mut rooms: BTreeMap<&str, (u32, &[Model])> = BTreeMap::new();
         for replica in self.replicas.values() {
@@ -129,6 +144,11 @@
     }
 }
 
+/// The model that an adapter belongs to, or the model itself.
+fn base(model: &Model) -> Model {
+    Model(model.0.split(ADAPTER_SEPARATOR).next().unwrap_or_default().to_string())
+}
+
 /// The plain service that a path names.
 pub(super) fn service(url: &str) -> Option<&str> {
     url.strip_prefix(SERVICES_PREFIX)?.split('/').next()
--- a/bulrushspread/src/batch/runner/state.rs
+++ b/bulrushspread/src/batch/runner/state.rs
@@ -30,6 +30,7 @@
     /// A pull is on its way.
     pub(super) pulling: bool,
     pub(super) next_pull: Millis,
+    pub(super) next_hold: Millis,
     pub(super) draining: bool,
 }
 
@@ -90,7 +91,6 @@
             Event::Vacated { upstream, start } => self.vacated(now, upstream, &start, actions),
             Event::Stop(tickets) => self.stop(now, tickets, actions),
             Event::TakenOver(tickets) => self.taken_over(&tickets),
-            Event::NotTakenOver(tickets) => self.not_taken_over(&tickets),
             Event::Tick => self.tick(now, actions),
             Event::Drain => self.drain(now, actions),
         }
@@ -224,6 +224,7 @@
         self.stopped.retain(|_, since| now - *since < STOPPED_TTL);
         self.end_overdue(now, actions);
         self.tell(now, actions);
+        self.hold(now, actions);
     }
 
     fn drain(&mut self, now: Millis, actions: &mut Vec<Action>) {
--- a/bulrushspread/src/batch/runner/supply.rs
+++ b/bulrushspread/src/batch/runner/supply.rs
@@ -56,6 +56,20 @@
     task::feed(&context, Event::Pulled);
 }
 
+/// Tells the owners of lanes what this node holds of theirs.
+pub(crate) async fn hold(context: Shared, holding: Vec<Ticket>) {
+    for owner in owners(&context) {
+        let held = holding.iter().filter(|ticket| owner.lanes.contains(&ticket.lane));
+        let holding: Vec<Ticket> = held.cloned().collect();
+        if holding.is_empty() {
+            continue;
+        }
+        let pull = Pull { lanes: owner.lanes.clone(), room: Vec::new(), holding };
+        let context = context.clone();
+        tokio::spawn(async move { ask(&context, &owner, pull).await });
+    }
+}
+
 /// Tells the owners how items ended.
 pub(crate) async fn tell(context: Shared, outcomes: Vec<Outcome>) {
     let mut by_lane: BTreeMap<Lane, Vec<Outcome>> = BTreeMap::new();
@@ -69,14 +83,11 @@
 
 async fn tell_lane(context: Shared, lane: Lane, outcomes: Vec<Outcome>) {
     let tickets = outcomes.iter().map(|outcome| outcome.ticket.clone()).collect();
-    let event = match take_over(&context, lane, Outcomes { outcomes }).await {
-        Ok(()) => Event::TakenOver(tickets),
-        Err(error) => {
-            log::debug!("batch runner: lane {lane} did not take outcomes over: {error:#}");
-            Event::NotTakenOver(tickets)
-        }
-    };
-    task::feed(&context, event);
+    if let Err(error) = take_over(&context, lane, Outcomes { outcomes }).await {
+        log::debug!("batch runner: lane {lane} did not take outcomes over: {error:#}");
+        return;
+    }
+    task::feed(&context, Event::TakenOver(tickets));
     context.batch.runner.edge.changed.notify_waiters();
 }
 
--- a/bulrushspread/src/batch/runner/task.rs
+++ b/bulrushspread/src/batch/runner/task.rs
@@ -136,6 +136,9 @@
         Action::Pull { room, holding } => {
             tokio::spawn(supply::pull(context.clone(), room, holding));
         }
+        Action::Hold(holding) => {
+            tokio::spawn(supply::hold(context.clone(), holding));
+        }
         Action::Tell(outcomes) => {
             tokio::spawn(supply::tell(context.clone(), outcomes));
         }
--- a/bulrushspread/tests/batch_runner.rs
+++ b/bulrushspread/tests/batch_runner.rs
@@ -125,7 +125,10 @@
                     self.told.push((outcome.ticket, outcome.end));
                 }
             }
-            Action::Pull { .. } | Action::Warn { .. } | Action::Cleared { .. } => {}
+            Action::Pull { .. }
+            | Action::Hold(_)
+            | Action::Warn { .. }
+            | Action::Cleared { .. } => {}
         }
     }
 
--- a/standins/src/fleet/mod.rs
+++ b/standins/src/fleet/mod.rs
@@ -168,6 +168,11 @@
         Ok(())
     }
 
+    /// Makes an engine serve another deployment, once the VMs are listed again.
+    pub fn assign_engine(&mut self, index: usize, deployment: &str) {
+        self.engines[index].serves = deployment.to_string();
+    }
+
     /// Marks an engine as leaving in the VM list.
     pub async fn mark_engine_leaving(&mut self, index: usize) -> Result<()> {
         self.engines[index].phase = Phase::Leaving;
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod client;
 pub mod engine;
+pub mod experiment;
 pub mod fleet;
 pub mod log_service;
 pub mod plain;
