feat(membership): failure detection over a few steady links, leaving marks, refutation

Cause: the VM list lags and errs, and it alone decided who was alive. Ruled out: probes of random targets (each needs a new handshake), removal on another node's word alone (a node that was cut off would condemn all others on its return). Change: probes along a ring of links 1, 2, 4, … places on; indirect probes from other data centres; suspicion with confirmations and local health; pushed and riding news; exchange of tables when digests keep differing; marks of upstreams that end unless renewed.

--- a/bulrushspread/src/config/task.rs
+++ b/bulrushspread/src/config/task.rs
@@ -21,8 +21,6 @@
 
 pub(crate) type Result<T> = anyhow::Result<T>;
 
-/// Time between two heads sent to the linked nodes while nothing changes.
-const HEAD_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Time that a node behind gives its own reading of the log before it pulls from a peer.
 const PULL_DELAY: Duration = Duration::from_millis(250);
 /// Time between two attempts to follow the stream.
@@ -44,11 +42,11 @@
 /// Serves a message of another node. What it returns answers a request.
 pub(crate) async fn serve(
     context: &Shared,
-    (_, from): (Vm, SocketAddr),
+    (from, _): (Vm, SocketAddr),
     message: Message,
 ) -> PeerMessage {
     match message {
-        Message::Head(head) => heard(context, from, head),
+        Message::Head(head) => heard(context, &from, head),
         Message::Ask => return PeerMessage::Config(Message::Head(context.config.head())),
         Message::Pull { have } => {
             let state = context.config.reader().state().clone();
@@ -62,11 +60,13 @@
 }
 
 /// Takes note of another node's head and pulls from it when this node stays behind.
-pub(crate) fn heard(context: &Shared, from: SocketAddr, head: Head) {
+pub(crate) fn heard(context: &Shared, vm: &Vm, head: Head) {
     let own = context.config.head();
     if head.next == own.next && head.digest != own.digest {
-        log::error!("config: {from} holds another document at offset {}", head.next);
+        log::error!("config: {vm} holds another document at offset {}", head.next);
     }
+    let view = context.membership.view();
+    let Some(from) = view.nodes.get(vm).map(|node| node.address) else { return };
     if head.next <= own.next || !context.config.begin_pull() {
         return;
     }
@@ -123,15 +123,15 @@
     context.config.put(InForce { offset: next, document });
 }
 
-/// Sends this node's head to the linked nodes: at once when it changes, else from time to time.
+/// Sends this node's head to the linked nodes at once when it changes. It rides on the probes of
+/// the membership too, so that a lost message delays nobody for long.
 async fn spread(context: Shared) {
     let mut changes = context.config.watch();
-    loop {
+    while changes.changed().await.is_ok() {
         let head = context.config.head();
         for (_, address) in links::of(&context) {
             send_head(context.clone(), address, head);
         }
-        let _ = tokio::time::timeout(HEAD_INTERVAL, changes.changed()).await;
     }
 }
 
--- a/bulrushspread/src/membership/settings.rs
+++ b/bulrushspread/src/membership/settings.rs
@@ -3,16 +3,22 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
-/// How nodes learn of each other.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+/// How nodes learn of each other. All times are in milliseconds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct Settings {
-    /// Milliseconds between two reads of the VM list.
+    /// Time between two reads of the VM list.
     pub list_ms: u64,
+    /// Time between two probes that the node sends.
+    pub probe_ms: u64,
+    /// Time after which an unanswered probe is tried through other nodes.
+    pub timeout_ms: u64,
+    /// Longest time between the suspicion that a node is dead and its removal.
+    pub suspicion_ms: u64,
 }
 
 impl Default for Settings {
     fn default() -> Settings {
-        Settings { list_ms: 500 }
+        Settings { list_ms: 500, probe_ms: 400, timeout_ms: 400, suspicion_ms: 3_000 }
     }
 }
--- a/bulrushspread/src/membership/task.rs
+++ b/bulrushspread/src/membership/task.rs
@@ -1,80 +1,144 @@
 //! The tasks of this slice: they feed its state and carry out what it decides.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, time::Duration};
+
+use cadence::CountedExt;
 
 use crate::{
-    id::{Incarnation, Upstream, Vm},
-    node::{self, Shared},
+    config,
+    id::Vm,
+    node::{Phase, Shared},
     peer::message::Message as PeerMessage,
-    vms::{self, Listed, Role},
 };
 
 use super::{
-    View,
-    message::Message,
-    view::{Node, Replica},
+    message::{Message, Version},
+    state::{Action, Event, State},
 };
 
 pub(crate) type Result<T> = anyhow::Result<T>;
 
+/// Time between two ticks of the state.
+const TICK: Duration = Duration::from_millis(50);
+/// Time that the last messages of a node get before the process ends.
+const FAREWELL: Duration = Duration::from_millis(100);
+
 /// Starts the tasks of the slice.
 pub(crate) async fn start(context: &Shared) -> Result<()> {
-    context.membership.put(view(context, &[])?);
+    let settings = &context.settings;
+    let address = match settings.peer.advertise {
+        Some(address) => address,
+        None => context.peer.local_address()?,
+    };
+    let version = Version { incarnation: context.incarnation, refutation: 0 };
+    context.membership.begin(State::new(
+        settings.vm.clone(),
+        address,
+        settings.data_centre.clone(),
+        version,
+        settings.membership.clone(),
+        context.incarnation.0,
+    ));
+    apply(context, Event::Tick);
     tokio::spawn(poll(context.clone()));
+    tokio::spawn(tick(context.clone()));
     Ok(())
 }
 
 /// Serves a message of another node. What it returns answers a request.
 pub(crate) async fn serve(
-    _context: &Shared,
-    _from: (Vm, SocketAddr),
+    context: &Shared,
+    (from, _): (Vm, SocketAddr),
     message: Message,
 ) -> PeerMessage {
-    match message {}
+    let table = matches!(message, Message::Table(_));
+    apply(context, Event::Received { from, message });
+    if !table {
+        return PeerMessage::Done;
+    }
+    let now = context.clock.now();
+    let table = context.membership.state().map(|state| state.table(now)).unwrap_or_default();
+    PeerMessage::Membership(Message::Table(table))
 }
 
-/// Stops the slice and waits until nothing of it is in flight.
-pub(crate) async fn stop(_context: &Shared) {}
+/// Tells the other nodes that this one ends.
+pub(crate) async fn stop(context: &Shared) {
+    apply(context, Event::Gone);
+    tokio::time::sleep(FAREWELL).await;
+}
+
+async fn tick(context: Shared) {
+    let mut interval = tokio::time::interval(TICK);
+    loop {
+        interval.tick().await;
+        for upstream in context.membership.take_leaving() {
+            apply(&context, Event::Leaving(upstream));
+        }
+        if *context.phase.borrow() == Phase::Draining {
+            apply(&context, Event::Leave);
+        }
+        apply(&context, Event::Head(context.config.head()));
+        apply(&context, Event::Tick);
+    }
+}
 
 async fn poll(context: Shared) {
     let interval = Duration::from_millis(context.settings.membership.list_ms.max(1));
     loop {
         match context.vms.list().await {
-            Ok(listed) => {
-                if let Ok(view) = view(&context, &listed) {
-                    context.membership.put(view);
-                }
-            }
+            Ok(listed) => apply(&context, Event::Listed(listed)),
             Err(error) => log::debug!("membership: the VM list can't be read: {error:#}"),
         }
         tokio::time::sleep(interval).await;
     }
 }
 
-fn view(context: &Shared, listed: &[Listed]) -> Result<View> {
-    let mut view = View { nodes: BTreeMap::new(), upstreams: BTreeMap::new() };
-    for entry in listed {
-        let leaving = entry.phase == vms::Phase::Leaving;
-        let data_centre = entry.data_centre.clone();
-        match &entry.role {
-            Role::Entry => {
-                let incarnation = Incarnation::default();
-                let node = Node { address: entry.address, data_centre, incarnation, leaving };
-                view.nodes.insert(entry.vm.clone(), node);
-            }
-            Role::Upstream { serves } => {
-                let (serves, address) = (serves.clone(), entry.address);
-                let replica = Replica { serves, address, data_centre, leaving };
-                view.upstreams.insert(Upstream(entry.vm.0.clone()), replica);
+fn apply(context: &Shared, event: Event) {
+    let now = context.clock.now();
+    let actions = {
+        let Some(mut state) = context.membership.state() else { return };
+        let actions = state.apply(now, event);
+        for action in &actions {
+            if let Action::Show(view) = action {
+                context.membership.put(view.clone());
             }
         }
-    }
-    let own = Node {
-        address: context.settings.peer.advertise.unwrap_or(context.peer.local_address()?),
-        data_centre: context.settings.data_centre.clone(),
-        incarnation: context.incarnation,
-        leaving: *context.phase.borrow() == node::Phase::Draining,
+        actions
     };
-    view.nodes.insert(context.settings.vm.clone(), own);
-    Ok(view)
+    for action in actions {
+        carry_out(context, action);
+    }
+}
+
+fn carry_out(context: &Shared, action: Action) {
+    match action {
+        Action::Send { to, message } => {
+            let _ = context.metrics.incr("membership.messages");
+            let context = context.clone();
+            tokio::spawn(async move {
+                let sent = context.peer.send(to, PeerMessage::Membership(message)).await;
+                if let Err(error) = sent {
+                    log::debug!("membership: can't reach {to}: {error:#}");
+                }
+            });
+        }
+        Action::Exchange { to, table } => {
+            let _ = context.metrics.incr("membership.tables");
+            tokio::spawn(exchange(context.clone(), to, Message::Table(table)));
+        }
+        Action::Heard { vm, head } => config::task::heard(context, &vm, head),
+        Action::Show(_) => {}
+    }
+}
+
+async fn exchange(context: Shared, to: SocketAddr, message: Message) {
+    let answer = context.peer.call(to, PeerMessage::Membership(message)).await;
+    match answer {
+        Ok(PeerMessage::Membership(message)) => {
+            let from = context.settings.vm.clone();
+            apply(&context, Event::Received { from, message });
+        }
+        Ok(_) => {}
+        Err(error) => log::debug!("membership: no table from {to}: {error:#}"),
+    }
 }
--- a/bulrushspread/src/membership/view.rs
+++ b/bulrushspread/src/membership/view.rs
@@ -1,11 +1,17 @@
 //! What this node believes of the fleet.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError},
+};
 
 use tokio::sync::watch;
 
 use crate::id::{DataCentre, Incarnation, Upstream, Vm};
 
+use super::state::State;
+
 /// Nodes and upstreams that are not known to be gone.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct View {
@@ -40,11 +46,18 @@
 #[derive(Clone)]
 pub struct Handle {
     current: watch::Sender<Arc<View>>,
+    /// Upstreams that slices of this node have seen leaving, until the membership takes note.
+    leaving: Arc<Mutex<BTreeSet<Upstream>>>,
+    state: Arc<OnceLock<Mutex<State>>>,
 }
 
 impl Default for Handle {
     fn default() -> Handle {
-        Handle { current: watch::channel(Arc::default()).0 }
+        Handle {
+            current: watch::channel(Arc::default()).0,
+            leaving: Arc::default(),
+            state: Arc::default(),
+        }
     }
 }
 
@@ -59,6 +72,24 @@
         self.current.subscribe()
     }
 
+    /// Says that an upstream is leaving, as its own load report tells. All nodes hear of it.
+    pub fn mark_leaving(&self, upstream: &Upstream) {
+        lock(&self.leaving).insert(upstream.clone());
+    }
+
+    pub(super) fn take_leaving(&self) -> BTreeSet<Upstream> {
+        std::mem::take(&mut *lock(&self.leaving))
+    }
+
+    /// Sets the state once, when the slice starts.
+    pub(super) fn begin(&self, state: State) {
+        let _ = self.state.set(Mutex::new(state));
+    }
+
+    pub(super) fn state(&self) -> Option<MutexGuard<'_, State>> {
+        self.state.get().map(lock)
+    }
+
     /// Replaces the view where it differs.
     pub fn put(&self, next: View) {
         self.current.send_if_modified(|current| {
@@ -70,3 +101,7 @@
         });
     }
 }
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
