--- a/bulrushspread/src/attempt/message.rs
+++ b/bulrushspread/src/attempt/message.rs
@@ -2,6 +2,11 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::quarantine::Suspect;
+
 /// What nodes tell one another in this slice.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Message {}
+pub enum Message {
+    /// Requests that crash upstreams, or that no longer stand under suspicion.
+    Suspects(Vec<Suspect>),
+}
--- a/bulrushspread/src/attempt/task.rs
+++ b/bulrushspread/src/attempt/task.rs
@@ -4,20 +4,28 @@
 
 use crate::{id::Vm, node::Shared, peer::message::Message as PeerMessage};
 
-use super::message::Message;
+use super::{intents, message::Message, spread};
 
 pub(crate) type Result<T> = anyhow::Result<T>;
 
 /// Starts the tasks of the slice.
-pub(crate) async fn start(_context: &Shared) -> Result<()> {
+pub(crate) async fn start(context: &Shared) -> Result<()> {
+    tokio::spawn(spread::exchange(context.clone()));
+    intents::start(context);
     Ok(())
 }
 
 /// Serves a message of another node. What it returns answers a request.
 pub(crate) async fn serve(
-    _context: &Shared,
+    context: &Shared,
     _from: (Vm, SocketAddr),
     message: Message,
 ) -> PeerMessage {
-    match message {}
+    match message {
+        Message::Suspects(suspects) => {
+            let now = context.clock.now();
+            context.attempt.node().quarantine.merge(now, suspects);
+        }
+    }
+    PeerMessage::Done
 }
--- /dev/null
+++ b/bulrushspread/src/attempt/work.rs
@@ -0,0 +1,129 @@
+//! The two kinds of work that are sent to upstreams, behind one stream of progress.
+
+use std::net::SocketAddr;
+
+use futures_util::{
+    StreamExt, TryStreamExt,
+    stream::{self, BoxStream},
+};
+use opentelemetry::trace::SpanKind;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    node::Shared,
+    telemetry::trace,
+    time::Millis,
+    upstream::{Answer, Call, Event, Failure, Generate},
+};
+
+use super::{Generation, ServiceCall};
+
+/// Characters of a prompt's beginning that decide which replica is likely to hold it cached.
+const PREFIX_CHARACTERS: usize = 256;
+
+/// What an upstream sends back.
+#[derive(Clone, Debug)]
+pub(super) enum Progress {
+    Event(Event),
+    Answer(Answer),
+}
+
+/// Progress until its end or the failure that ended it.
+pub(super) type Running = BoxStream<'static, Result<Progress, Failure>>;
+
+/// What is to be sent.
+#[derive(Clone, Debug)]
+pub(super) enum Work {
+    Generate(Generation),
+    Call(ServiceCall),
+}
+
+impl Work {
+    /// The model that the replica must hold.
+    pub(super) fn model(&self) -> Option<String> {
+        match self {
+            Work::Generate(generation) => Some(generation.model.to_string()),
+            Work::Call(_) => None,
+        }
+    }
+
+    /// Digest of the prompt's beginning.
+    pub(super) fn prefix(&self) -> Option<u64> {
+        let Work::Generate(generation) = self else { return None };
+        let prompt = generation.prompt.as_bytes();
+        Some(xxh3_64(&prompt[..prompt.len().min(PREFIX_CHARACTERS)]))
+    }
+
+    pub(super) fn deadline(&self) -> Millis {
+        match self {
+            Work::Generate(generation) => generation.deadline,
+            Work::Call(call) => call.deadline,
+        }
+    }
+
+    /// Sends the work, or resumes it behind the events in `delivered`.
+    pub(super) fn send(
+        &self,
+        context: &Shared,
+        address: SocketAddr,
+        delivered: &[String],
+    ) -> Running {
+        match self {
+            Work::Generate(generation) => generate(context, address, generation, delivered),
+            Work::Call(call) => send_call(context, address, call),
+        }
+    }
+
+    /// Cancels a generation at its engine. A call can't be cancelled.
+    pub(super) fn cancel(&self, context: &Shared, address: SocketAddr) {
+        let Work::Generate(generation) = self else { return };
+        let (context, id) = (context.clone(), generation.id.clone());
+        tokio::spawn(async move {
+            if let Err(failure) = context.upstreams.cancel(address, &id).await {
+                log::debug!("attempt: stream {id} was not cancelled: {failure}");
+            }
+        });
+    }
+}
+
+fn generate(
+    context: &Shared,
+    address: SocketAddr,
+    generation: &Generation,
+    delivered: &[String],
+) -> Running {
+    let span = trace::hop("attempt.generate", SpanKind::Client, &generation.trace);
+    let request = Generate {
+        id: generation.id.clone(),
+        model: generation.model.to_string(),
+        prompt: generation.prompt.clone(),
+        max_tokens: generation.max_tokens,
+        from: delivered.len() as u32,
+        resume_text: delivered.to_vec(),
+    };
+    let upstreams = context.upstreams.clone();
+    let open = async move { upstreams.generate(address, request).await };
+    stream::once(open)
+        .try_flatten()
+        .inspect_err(move |failure| trace::fail(&span, &failure.message))
+        .map_ok(Progress::Event)
+        .boxed()
+}
+
+fn send_call(context: &Shared, address: SocketAddr, call: &ServiceCall) -> Running {
+    let span = trace::hop("attempt.call", SpanKind::Client, &call.trace);
+    let mut headers = call.headers.clone();
+    trace::inject(&span, &mut headers);
+    let request = Call {
+        method: call.method.clone(),
+        path: call.path.clone(),
+        headers,
+        body: call.body.clone(),
+        timeout: call.deadline - context.clock.now(),
+    };
+    let upstreams = context.upstreams.clone();
+    stream::once(async move { upstreams.call(address, request).await })
+        .inspect_err(move |failure| trace::fail(&span, &failure.message))
+        .map_ok(Progress::Answer)
+        .boxed()
+}
--- /dev/null
+++ b/bulrushspread/src/gateway/body.rs
@@ -0,0 +1,40 @@
+//! Bodies of requests, read within bounds of size and time.
+
+use bytes::{Bytes, BytesMut};
+use dropshot::StreamingBody;
+use futures_util::{StreamExt, pin_mut};
+
+use crate::{
+    error::{Error, Kind, Result},
+    time::Millis,
+};
+
+use super::{Settings, answer::library_error};
+
+/// Reads the whole body. Refuses one that is too large or that arrives too slowly.
+pub(crate) async fn read(body: StreamingBody, settings: &Settings) -> Result<Bytes> {
+    let timeout = Millis(settings.body_timeout_ms);
+    match tokio::time::timeout(timeout.duration(), collect(body, settings.body_bytes)).await {
+        Ok(body) => body,
+        Err(_) => {
+            Err(Error::new(Kind::BadRequest, format!("the body did not arrive within {timeout}")))
+        }
+    }
+}
+
+async fn collect(body: StreamingBody, limit: usize) -> Result<Bytes> {
+    let pieces = body.into_stream();
+    pin_mut!(pieces);
+    let mut whole = BytesMut::new();
+    while let Some(piece) = pieces.next().await {
+        let piece = piece.map_err(|error| library_error(&error))?;
+        if whole.len() + piece.len() > limit {
+            return Err(Error::new(
+                Kind::TooLarge,
+                format!("the body has more than {limit} bytes"),
+            ));
+        }
+        whole.extend_from_slice(&piece);
+    }
+    Ok(whole.freeze())
+}
--- a/bulrushspread/src/gateway/mod.rs
+++ b/bulrushspread/src/gateway/mod.rs
@@ -1,6 +1,16 @@
 //! The callers' HTTP listener: OpenAI-compatible endpoints and plain services.
 
+pub(crate) mod answer;
+pub(crate) mod auth;
+pub(crate) mod body;
+mod completions;
+pub(crate) mod directory;
+mod models;
+mod openai;
+mod services;
 pub mod settings;
 pub(crate) mod task;
 
+pub use directory::Cache;
 pub use settings::Settings;
+pub use task::Listener;
--- a/bulrushspread/src/node.rs
+++ b/bulrushspread/src/node.rs
@@ -51,6 +51,10 @@
     pub incarnation: Incarnation,
     pub metrics: Metrics,
     pub phase: watch::Sender<Phase>,
+    /// The index of the document in force.
+    pub directory: gateway::Cache,
+    /// The callers' listener.
+    pub listener: gateway::Listener,
     /// Set by the gateway once it listens.
     pub gateway_address: OnceLock<SocketAddr>,
     /// Set by the operator slice once it listens.
@@ -100,6 +104,8 @@
         incarnation,
         metrics: metrics::connect(statsd.as_deref())?,
         phase: watch::channel(Phase::Starting).0,
+        directory: gateway::Cache::default(),
+        listener: gateway::Listener::default(),
         gateway_address: OnceLock::new(),
         operator_address: OnceLock::new(),
         log: Arc::new(journal::http::Http::new(settings.platform.log)),
@@ -107,12 +113,16 @@
         upstreams: Arc::new(upstream::http::Http::default()),
         peer: Arc::new(peer),
         admit: admit::Handle::default(),
-        attempt: attempt::Handle::default(),
+        attempt: attempt::Handle::new(settings.attempt.clone(), incarnation.0),
         batch: batch::Handle::default(),
         config: config::Handle::default(),
         journal: journal::Handle::default(),
         membership: membership::Handle::default(),
-        route: route::Handle::default(),
+        route: route::Handle::new(
+            settings.route.clone(),
+            settings.data_centre.clone(),
+            incarnation.0,
+        ),
         settings,
     })
 }
--- a/bulrushspread/src/upstream/http.rs
+++ b/bulrushspread/src/upstream/http.rs
@@ -33,6 +33,10 @@
 const ADMIT_TIMEOUT: Millis = Millis(30_000);
 /// Time that a report, an order or a cancel may take.
 const CONTROL_TIMEOUT: Millis = Millis(2_000);
+/// Where engines report their load.
+const ENGINE_LOAD_PATH: &str = "/v1/load";
+/// Where plain services report theirs.
+const SERVICE_LOAD_PATH: &str = "/load";
 /// The header with the fencing number of an order.
 const FENCE_HEADER: &str = "x-fence";
 
@@ -42,6 +46,13 @@
     web: Web,
 }
 
+impl Http {
+    async fn get(&self, address: SocketAddr, path: &str) -> Result<web::Answer> {
+        let request = json(Method::GET, address, path, Vec::new())?;
+        self.web.send(request, CONTROL_TIMEOUT).await.map_err(failure)
+    }
+}
+
 #[async_trait]
 impl Client for Http {
     async fn call(&self, address: SocketAddr, call: Call) -> Result<Answer> {
@@ -75,14 +86,20 @@
     }
 
     async fn report(&self, address: SocketAddr) -> Result<Report> {
-        let request = json(Method::GET, address, "/v1/load", Vec::new())?;
-        let answer = self.web.send(request, CONTROL_TIMEOUT).await.map_err(failure)?;
+        let mut answer = self.get(address, ENGINE_LOAD_PATH).await?;
+        if answer.status == StatusCode::NOT_FOUND {
+            answer = self.get(address, SERVICE_LOAD_PATH).await?;
+        }
         if !answer.status.is_success() {
             return Err(refusal(answer.status));
         }
         serde_json::from_slice(&answer.body).map_err(invalid)
     }
 
+    async fn alive(&self, address: SocketAddr) -> bool {
+        self.get(address, ENGINE_LOAD_PATH).await.is_ok()
+    }
+
     async fn order(&self, address: SocketAddr, order: Order, fence: u64) -> Result<()> {
         let body = serde_json::to_vec(&order).map_err(invalid)?;
         let mut request = json(Method::POST, address, "/v1/orders", body)?;
--- a/bulrushspread/src/upstream/mod.rs
+++ b/bulrushspread/src/upstream/mod.rs
@@ -121,6 +121,11 @@
     /// Asks for the load report.
     async fn report(&self, address: SocketAddr) -> Result<Report>;
 
+    /// Whether anything answers at the address, if only with an error.
+    async fn alive(&self, address: SocketAddr) -> bool {
+        self.report(address).await.is_ok()
+    }
+
     /// Gives an order with fencing number `fence`.
     async fn order(&self, address: SocketAddr, order: Order, fence: u64) -> Result<()>;
 }
