--- a/standins/src/fleet/replica.rs
+++ b/standins/src/fleet/replica.rs
@@ -17,7 +17,7 @@
     /// Between the nodes and the upstream, where the plan asks for it.
     pub proxy: Option<Proxy>,
     pub phase: Phase,
-    serves: String,
+    pub(super) serves: String,
     data_centre: DataCentre,
 }
 
