fix(standins): publish only once a node has read the configuration

Cause: a node that had just started refused the fleet's first piece as not run, now and then.

Change: the harness tries again while a node answers 503; the error event of a stream fails the stream with its message.

--- a/standins/src/fleet/caller.rs
+++ b/standins/src/fleet/caller.rs
@@ -66,6 +66,7 @@
         let mut chat = Chat::default();
         while let Some(event) = events.next().await {
             let event = event?;
+            ensure!(event["error"].is_null(), "after {:?}: {event}", chat.text);
             let choice = &event["choices"][0];
             if let Some(text) = choice["delta"]["content"].as_str().filter(|text| !text.is_empty())
             {
--- a/standins/src/fleet/mod.rs
+++ b/standins/src/fleet/mod.rs
@@ -21,10 +21,14 @@
     vms::{Listed, Phase},
 };
 use futures_util::future::try_join_all;
+use http::StatusCode;
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
-use crate::{client::Client, wait::wait_until};
+use crate::{
+    client::{Answer, Client},
+    wait::wait_until,
+};
 
 pub use caller::{Caller, Chat};
 pub use job::{Items, Outcome, job_id};
@@ -166,11 +170,17 @@
         self.list_vms().await
     }
 
-    /// Publishes a team's piece through a node's operator listener.
+    /// Publishes a team's piece through a node's operator listener, once the node is ready.
     pub async fn publish(&mut self, node: usize, team: &Team, piece: &Piece) -> Result<Value> {
         let base = self.versions.get(team).cloned().unwrap_or(Value::Null);
         let body = json!({ "base": base, "piece": piece });
-        let answer = self.nodes[node].put_piece(&self.client, team, &body).await?.success()?;
+        let what = format!("{} takes the piece of {team}", self.nodes[node].vm);
+        let answer = wait_until(&what, START_BOUND, || async {
+            let answer = self.nodes[node].put_piece(&self.client, team, &body).await;
+            let unready = |answer: &Answer| answer.status == StatusCode::SERVICE_UNAVAILABLE;
+            (!answer.as_ref().is_ok_and(unready)).then_some(answer)
+        });
+        let answer = answer.await??.success()?;
         let version = answer.json::<Value>()?["version"].clone();
         self.versions.insert(team.clone(), version.clone());
         Ok(version)
