--- a/standins/src/bin/demo.rs
+++ b/standins/src/bin/demo.rs
@@ -100,7 +100,7 @@
         items.chat(name, &format!("<id:{name}> <fail>"), ITEM_TOKENS)
     });
     let key = Some("evening-notes");
-    let file = fleet.caller(0).upload(&items).await?;
+    let file = fleet.caller(0).upload_items(&items).await?;
     let job = job_id(fleet.caller(0).create_job(&file, key, &json!({})).await?)?;
     println!("submitted {job} with {} items", summary.items);
     let resent = fleet.caller(1).create_job(&file, key, &json!({})).await.and_then(job_id);
--- a/standins/src/fleet/caller.rs
+++ b/standins/src/fleet/caller.rs
@@ -125,7 +125,7 @@
     }
 
     /// Uploads the lines of a file and returns its id.
-    pub async fn upload_text(&self, lines: &str) -> Result<String> {
+    pub async fn upload(&self, lines: &str) -> Result<String> {
         let body = format!(
             "--{BOUNDARY}\r\nContent-Disposition: form-data; name=\"purpose\"\r\n\r\nbatch\r\n\
              --{BOUNDARY}\r\nContent-Disposition: form-data; name=\"file\"; \
--- a/standins/src/fleet/job.rs
+++ b/standins/src/fleet/job.rs
@@ -50,13 +50,13 @@
 
 impl Caller {
     /// Uploads a file of items and returns its id.
-    pub async fn upload(&self, items: &Items) -> Result<String> {
-        self.upload_text(&items.0).await
+    pub async fn upload_items(&self, items: &Items) -> Result<String> {
+        self.upload(&items.0).await
     }
 
     /// Uploads items, creates a job of them and returns its id.
     pub async fn submit(&self, items: &Items) -> Result<String> {
-        let file = self.upload(items).await?;
+        let file = self.upload_items(items).await?;
         job_id(self.create_job(&file, None, &json!({})).await?)
     }
 
--- a/standins/src/fleet/replica.rs
+++ b/standins/src/fleet/replica.rs
@@ -17,7 +17,8 @@
     /// Between the nodes and the upstream, where the plan asks for it.
     pub proxy: Option<Proxy>,
     pub phase: Phase,
-    serves: String,
+    /// The deployment or plain service.
+    pub serves: String,
     data_centre: DataCentre,
 }
 
