--- a/standins/src/fleet/caller.rs
+++ b/standins/src/fleet/caller.rs
@@ -66,6 +66,7 @@
         let mut chat = Chat::default();
         while let Some(event) = events.next().await {
             let event = event?;
+            ensure!(event["error"].is_null(), "after {:?}: {event}", chat.text);
             let choice = &event["choices"][0];
             if let Some(text) = choice["delta"]["content"].as_str().filter(|text| !text.is_empty())
             {
@@ -124,7 +125,7 @@
     }
 
     /// Uploads the lines of a file and returns its id.
-    pub async fn upload_text(&self, lines: &str) -> Result<String> {
+    pub async fn upload(&self, lines: &str) -> Result<String> {
         let body = format!(
             "--{BOUNDARY}\r\nContent-Disposition: form-data; name=\"purpose\"\r\n\r\nbatch\r\n\
              --{BOUNDARY}\r\nContent-Disposition: form-data; name=\"file\"; \
