--- a/bulrushspread/src/membership/task.rs
+++ b/bulrushspread/src/membership/task.rs
@@ -20,8 +20,8 @@
 
 /// Time between two ticks of the state.
 const TICK: Duration = Duration::from_millis(50);
-/// Time that the last messages of a node get before the process ends.
-const FAREWELL: Duration = Duration::from_millis(100);
+/// Time within which the linked nodes must have taken in that this node ends.
+const FAREWELL: Duration = Duration::from_millis(1_000);
 
 /// Starts the tasks of the slice.
 pub(crate) async fn start(context: &Shared) -> Result<()> {
@@ -61,10 +61,18 @@
     PeerMessage::Membership(Message::Table(table))
 }
 
-/// Tells the other nodes that this one ends.
+/// Tells the linked nodes that this one ends, and waits until they have taken it in.
 pub(crate) async fn stop(context: &Shared) {
-    apply(context, Event::Gone);
-    tokio::time::sleep(FAREWELL).await;
+    let calls = decide(context, Event::Gone).into_iter().filter_map(|action| match action {
+        Action::Send { to, message } => {
+            Some(context.peer.call(to, PeerMessage::Membership(message)))
+        }
+        Action::Exchange { .. } | Action::Heard { .. } | Action::Show(_) => None,
+    });
+    let all = futures_util::future::join_all(calls);
+    if tokio::time::timeout(FAREWELL, all).await.is_err() {
+        log::warn!("membership: not every linked node has heard that this node ends");
+    }
 }
 
 async fn tick(context: Shared) {
@@ -94,20 +102,22 @@
 }
 
 fn apply(context: &Shared, event: Event) {
+    for action in decide(context, event) {
+        carry_out(context, action);
+    }
+}
+
+/// Feeds the state. A new view is shown before anybody else can feed it.
+fn decide(context: &Shared, event: Event) -> Vec<Action> {
     let now = context.clock.now();
-    let actions = {
-        let Some(mut state) = context.membership.state() else { return };
-        let actions = state.apply(now, event);
-        for action in &actions {
-            if let Action::Show(view) = action {
-                context.membership.put(view.clone());
-            }
+    let Some(mut state) = context.membership.state() else { return Vec::new() };
+    let actions = state.apply(now, event);
+    for action in &actions {
+        if let Action::Show(view) = action {
+            context.membership.put(view.clone());
         }
-        actions
-    };
-    for action in actions {
-        carry_out(context, action);
     }
+    actions
 }
 
 fn carry_out(context: &Shared, action: Action) {
--- a/bulrushspread/src/route/task.rs
+++ b/bulrushspread/src/route/task.rs
@@ -72,6 +72,9 @@
         let loads = join_all(polled.iter().map(|target| ask(&context, target))).await;
         let loads: Vec<Load> = loads.into_iter().flatten().collect();
         context.route.state().report(context.clock.now(), &loads);
+        for load in loads.iter().filter(|load| load.leaving) {
+            context.membership.mark_leaving(&load.upstream);
+        }
         pass_on(&context, &view, &loads, &mut rng).await;
     }
 }
