--- a/bulrushspread/src/operator/api.rs
+++ b/bulrushspread/src/operator/api.rs
@@ -283,10 +283,13 @@
         Phase::Serving => "serving",
         Phase::Draining => "draining",
     };
+    let traffic = context.peer.traffic();
     Health {
         phase: phase.to_string(),
         vm: context.settings.vm.clone(),
         config_offset: context.config.head().next,
         config_caught_up: context.config.reader().caught_up(),
+        peer_sent_bytes: traffic.sent,
+        peer_received_bytes: traffic.received,
     }
 }
--- a/bulrushspread/src/operator/view.rs
+++ b/bulrushspread/src/operator/view.rs
@@ -92,6 +92,10 @@
     pub config_offset: Offset,
     /// The node has read the configuration stream to its end since it started.
     pub config_caught_up: bool,
+    /// Bytes sent to other nodes since the start.
+    pub peer_sent_bytes: u64,
+    /// Bytes received from other nodes since the start.
+    pub peer_received_bytes: u64,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
--- a/standins/src/fleet/process.rs
+++ b/standins/src/fleet/process.rs
@@ -89,6 +89,11 @@
         Ok((Process { child, pid, ended: None, log, _pipes: pipes }, ready))
     }
 
+    /// The process id.
+    pub fn id(&self) -> i32 {
+        self.pid.as_raw()
+    }
+
     /// Whether the process has not been seen to end.
     pub fn is_running(&self) -> bool {
         self.ended.is_none()
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -3,6 +3,7 @@
 //! Each stand-in is a small HTTP server whose faults are set at run time by `POST /control` and
 //! whose counts are read by `GET /control`.
 
+pub mod capacity;
 pub mod client;
 pub mod engine;
 pub mod experiment;
