--- a/bulrushspread/src/membership/exchange.rs
+++ b/bulrushspread/src/membership/exchange.rs
@@ -20,7 +20,7 @@
 /// Time between two exchanges of whole tables.
 const TABLE_INTERVAL: Millis = Millis(10_000);
 /// Time that differing digests are given to become the same by news alone.
-const SETTLING: Millis = Millis(2_000);
+const SETTLING: Millis = Millis(6_000);
 
 impl State {
     /// Probes the next of the linked nodes.
