fix(gateway): a node without configuration is not ready and says so

Cause: a node that had just started said that it was ready and answered 401, final, to keys that it had not read yet.

Ruled out: holding the listener back until the configuration is there, since a node that starts during an outage of the log takes it from a peer at any later time.

Change: until something has been read from the log or a peer, /ready and every call answer 503, not run.

--- a/bulrushspread/src/gateway/auth.rs
+++ b/bulrushspread/src/gateway/auth.rs
@@ -5,6 +5,7 @@
 
 use crate::{
     error::{Error, Kind, Result},
+    id::Offset,
     node::{Context, Phase},
 };
 
@@ -15,6 +16,7 @@
     if *context.phase.borrow() == Phase::Draining {
         return Err(Error::new(Kind::Draining, "this node is stopping; call again"));
     }
+    check_configured(context)?;
     let key = bearer(headers)
         .ok_or_else(|| Error::new(Kind::Unauthorized, "the request carries no bearer key"))?;
     let digest = hex::encode(Sha256::digest(key.as_bytes()));
@@ -23,6 +25,14 @@
     caller.ok_or_else(|| Error::new(Kind::Unauthorized, "the bearer key is not known"))
 }
 
+/// Refuses while this node has read no configuration, neither from the log nor from a peer.
+pub(super) fn check_configured(context: &Context) -> Result<()> {
+    if context.config.head().next == Offset(0) && !context.config.reader().caught_up() {
+        return Err(Error::new(Kind::LogUnavailable, "this node has no configuration yet"));
+    }
+    Ok(())
+}
+
 fn bearer(headers: &HeaderMap) -> Option<&str> {
     let value = headers.get(AUTHORIZATION)?.to_str().ok()?;
     let (scheme, key) = value.split_once(' ')?;
--- a/bulrushspread/src/gateway/task.rs
+++ b/bulrushspread/src/gateway/task.rs
@@ -17,7 +17,7 @@
 
 use super::{
     answer::{self, Outcome},
-    completions, models, services,
+    auth, completions, models, services,
 };
 
 /// The running listener, until the node stops.
@@ -80,7 +80,8 @@
 async fn ready(request: RequestContext<Shared>) -> Outcome {
     let phase = *request.context().phase.borrow();
     answer::of(match phase {
-        Phase::Serving => Ok(answer::json(StatusCode::OK, &"ready")),
+        Phase::Serving => auth::check_configured(request.context())
+            .map(|()| answer::json(StatusCode::OK, &"ready")),
         Phase::Starting | Phase::Draining => {
             Err(Error::new(Kind::Draining, "this node takes no requests now"))
         }
