feat(batch): folds of jobs and lanes, ledger and ownership decisions

Cause: every accepted item needs exactly one result whoever owns its lane.

Change: `record`, `jobs` and `lane` fold the streams; `ledger` grants (fair across workspaces, earliest deadline first), limits attempts, crashes and losses; `owner::State` claims, takes over, journals and finishes. An owner that has not read its lane for `outage_grant_ms` grants nothing, and a cancel counts as in force only after that time has passed since a forced takeover.

Conclusion: the edges can be built on these.

--- /dev/null
+++ b/bulrushspread/src/batch/jobs.rs
@@ -0,0 +1,225 @@
+//! The fold of the `jobs` stream: files, jobs and the keys that callers gave them.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::{
+    id::{File, Job, Workspace},
+    journal::record::Position,
+};
+
+use super::record::{FileCreated, JobCreated, JobFinished, Jobs};
+
+/// All files and jobs of an environment as of one place in the stream.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Fold {
+    files: BTreeMap<File, FileState>,
+    jobs: BTreeMap<Job, JobState>,
+    /// The job that holds a key: the one whose record stands first in the stream.
+    keys: BTreeMap<Workspace, BTreeMap<String, Job>>,
+    /// Jobs of a workspace in the order of their creation.
+    order: BTreeMap<Workspace, BTreeSet<(Position, Job)>>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FileState {
+    /// Where the record first stood.
+    pub position: Position,
+    /// Where the last copy of the record stands.
+    pub carried: Position,
+    pub created: FileCreated,
+    /// Jobs of the file that have not finished. The file does not expire while there are any.
+    pub open_jobs: u32,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct JobState {
+    /// Where the record first stood. Decides between jobs of the same key.
+    pub position: Position,
+    /// Where the last copy of the record stands.
+    pub carried: Position,
+    pub created: JobCreated,
+    pub cancelled: bool,
+    /// Set once and never changed.
+    pub finished: Option<JobFinished>,
+}
+
+/// What a record changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Nothing: the record was repeated, came second for its key or names nothing known.
+    Void,
+    FileAdded(File),
+    JobAdded(Job),
+    /// The second job gave its key up to the first.
+    JobReplaced {
+        by: Job,
+        dropped: Job,
+    },
+    Cancelled(Job),
+    Finished(Job),
+    Expired,
+}
+
+impl Fold {
+    /// Takes in the next record of the stream.
+    pub fn apply(&mut self, position: Position, record: &Jobs) -> Effect {
+        match record {
+            Jobs::Carried { position: original, record } => self.fold(*original, position, record),
+            record => self.fold(position, position, record),
+        }
+    }
+
+    pub fn file(&self, file: &File) -> Option<&FileState> {
+        self.files.get(file)
+    }
+
+    pub fn job(&self, job: &Job) -> Option<&JobState> {
+        self.jobs.get(job)
+    }
+
+    /// The job of the workspace that holds `key`.
+    pub fn by_key(&self, workspace: &Workspace, key: &str) -> Option<&JobState> {
+        self.jobs.get(self.keys.get(workspace)?.get(key)?)
+    }
+
+    /// Jobs of the workspace, the newest first.
+    pub fn newest(&self, workspace: &Workspace) -> impl Iterator<Item = &JobState> {
+        let order = self.order.get(workspace).into_iter().flatten().rev();
+        order.filter_map(|(_, job)| self.jobs.get(job))
+    }
+
+    pub fn jobs(&self) -> impl Iterator<Item = &JobState> {
+        self.jobs.values()
+    }
+
+    pub fn files(&self) -> impl Iterator<Item = &FileState> {
+        self.files.values()
+    }
+
+    fn fold(&mut self, original: Position, position: Position, record: &Jobs) -> Effect {
+        match record {
+            Jobs::FileCreated(created) => self.add_file(original, position, created),
+            Jobs::JobCreated(created) => self.add_job(original, position, created),
+            Jobs::JobCancelled { job } => self.cancel(job),
+            Jobs::JobFinished(finished) => self.finish(finished),
+            Jobs::Expired { jobs, files } => self.expire(jobs, files),
+            Jobs::Carried { .. } => Effect::Void,
+        }
+    }
+
+    fn add_file(&mut self, original: Position, carried: Position, file: &FileCreated) -> Effect {
+        if let Some(state) = self.files.get_mut(&file.file) {
+            state.carried = state.carried.max(carried);
+            return Effect::Void;
+        }
+        let created = file.clone();
+        let state = FileState { position: original, carried, created, open_jobs: 0 };
+        self.files.insert(file.file.clone(), state);
+        Effect::FileAdded(file.file.clone())
+    }
+
+    fn add_job(&mut self, original: Position, carried: Position, job: &JobCreated) -> Effect {
+        if let Some(state) = self.jobs.get_mut(&job.job) {
+            state.carried = state.carried.max(carried);
+            return Effect::Void;
+        }
+        if !self.accepts(job) {
+            return Effect::Void;
+        }
+        let holder = self.holder(job).map(|state| (state.position, state.created.job.clone()));
+        let effect = match holder {
+            Some((position, _)) if position < original => return Effect::Void,
+            Some((_, dropped)) => {
+                self.remove(&dropped);
+                Effect::JobReplaced { by: job.job.clone(), dropped }
+            }
+            None => Effect::JobAdded(job.job.clone()),
+        };
+        self.insert(original, carried, job);
+        effect
+    }
+
+    /// A job needs a faultless file of its own workspace.
+    fn accepts(&self, job: &JobCreated) -> bool {
+        let Some(file) = self.files.get(&job.file) else { return false };
+        file.created.workspace == job.workspace && file.created.fault.is_none()
+    }
+
+    fn holder(&self, job: &JobCreated) -> Option<&JobState> {
+        self.by_key(&job.workspace, job.key.as_ref()?)
+    }
+
+    fn insert(&mut self, position: Position, carried: Position, job: &JobCreated) {
+        let (id, workspace) = (job.job.clone(), job.workspace.clone());
+        if let Some(key) = &job.key {
+            self.keys.entry(workspace.clone()).or_default().insert(key.clone(), id.clone());
+        }
+        self.order.entry(workspace).or_default().insert((position, id.clone()));
+        if let Some(file) = self.files.get_mut(&job.file) {
+            file.open_jobs += 1;
+        }
+        let created = job.clone();
+        let state = JobState { position, carried, created, cancelled: false, finished: None };
+        self.jobs.insert(id, state);
+    }
+
+    fn remove(&mut self, job: &Job) {
+        let Some(state) = self.jobs.remove(job) else { return };
+        let created = state.created;
+        if state.finished.is_none() {
+            self.close(&created.file);
+        }
+        if let Some(order) = self.order.get_mut(&created.workspace) {
+            order.remove(&(state.position, job.clone()));
+        }
+        let keys = self.keys.get_mut(&created.workspace);
+        if let (Some(keys), Some(key)) = (keys, &created.key)
+            && keys.get(key) == Some(job)
+        {
+            keys.remove(key);
+        }
+    }
+
+    fn cancel(&mut self, job: &Job) -> Effect {
+        match self.jobs.get_mut(job) {
+            Some(state) if !state.cancelled && state.finished.is_none() => {
+                state.cancelled = true;
+                Effect::Cancelled(job.clone())
+            }
+            _ => Effect::Void,
+        }
+    }
+
+    fn finish(&mut self, finished: &JobFinished) -> Effect {
+        match self.jobs.get_mut(&finished.job) {
+            Some(state) if state.finished.is_none() => {
+                state.finished = Some(finished.clone());
+                let file = state.created.file.clone();
+                self.close(&file);
+                Effect::Finished(finished.job.clone())
+            }
+            _ => Effect::Void,
+        }
+    }
+
+    /// A job that has not finished never expires.
+    fn expire(&mut self, jobs: &[Job], files: &[File]) -> Effect {
+        for job in jobs {
+            if self.jobs.get(job).is_some_and(|state| state.finished.is_some()) {
+                self.remove(job);
+            }
+        }
+        for file in files {
+            if self.files.get(file).is_some_and(|state| state.open_jobs == 0) {
+                self.files.remove(file);
+            }
+        }
+        Effect::Expired
+    }
+
+    fn close(&mut self, file: &File) {
+        if let Some(file) = self.files.get_mut(file) {
+            file.open_jobs -= 1;
+        }
+    }
+}
--- /dev/null
+++ b/bulrushspread/src/batch/lane.rs
@@ -0,0 +1,172 @@
+//! The fold of a lane's stream: who owns the lane and which items have ended.
+
+use std::collections::BTreeMap;
+
+use crate::{
+    id::{Epoch, Item, Job},
+    journal::record::{Position, Writer},
+};
+
+use super::{
+    items::Items,
+    record::{Final, Lane, Offsets},
+    view::Counts,
+};
+
+/// Items beyond this index are not of any job.
+const ITEM_LIMIT: u32 = 1 << 20;
+
+/// The state of a lane as of one place in its stream. Every reader of the same prefix has the same.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Fold {
+    /// The claim in force: the first of the highest epoch.
+    pub claim: Option<Claim>,
+    /// Jobs with records, until they are forgotten.
+    pub jobs: BTreeMap<Job, Progress>,
+}
+
+/// A node's ownership of the lane.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Claim {
+    pub epoch: Epoch,
+    pub owner: Writer,
+    pub released: bool,
+}
+
+/// What the lane's stream says about one job.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Progress {
+    pub cancelled: bool,
+    /// Items with a terminal record. None is added after `cancelled` is set.
+    pub ended: Items,
+    /// How many of `ended` completed; the others failed.
+    pub completed: u32,
+    /// Items that were about to run and must not run again.
+    pub intended: Items,
+    /// Appends that hold terminal records of the job.
+    pub offsets: Offsets,
+    /// The last index of the results.
+    pub index: Option<Position>,
+}
+
+impl Progress {
+    /// Counts of a job of `total` items whose remaining items no longer run.
+    pub fn counts(&self, total: u32) -> Counts {
+        let ended = u64::from(self.ended.len());
+        let completed = u64::from(self.completed);
+        let total = u64::from(total);
+        let cancelled = if self.cancelled { total.saturating_sub(ended) } else { 0 };
+        Counts { total, completed, failed: ended - completed, cancelled }
+    }
+}
+
+/// What a record changed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Nothing: the record was late, repeated or of a former owner.
+    Void,
+    Claimed(Claim),
+    Released,
+    Intended(Job, Vec<Item>),
+    /// These items now have their result.
+    Ended(Job, Vec<Item>),
+    Cancelled(Job),
+    Indexed(Job, Position),
+}
+
+impl Fold {
+    /// Takes in the next record of the stream.
+    pub fn apply(&mut self, position: Position, record: &Lane) -> Effect {
+        match record {
+            Lane::Claim { epoch, owner } => self.claim(*epoch, owner),
+            Lane::Release { epoch } => self.release(*epoch),
+            Lane::Cancel { job } => self.cancel(job),
+            Lane::Intent { epoch, job, items } if self.in_force(*epoch) => self.intend(job, items),
+            Lane::Results { epoch, job, results } if self.in_force(*epoch) => {
+                self.end(position, job, results)
+            }
+            Lane::Index { epoch, job, .. } if self.in_force(*epoch) => {
+                self.progress(job).index = Some(position);
+                Effect::Indexed(job.clone(), position)
+            }
+            Lane::Intent { .. } | Lane::Results { .. } | Lane::Index { .. } => Effect::Void,
+        }
+    }
+
+    /// Drops what is known of a job that has finished.
+    pub fn forget(&mut self, job: &Job) {
+        self.jobs.remove(job);
+    }
+
+    /// The epoch that a new claim needs.
+    pub fn next_epoch(&self) -> Epoch {
+        Epoch(self.claim.as_ref().map_or(1, |claim| claim.epoch.0 + 1))
+    }
+
+    fn claim(&mut self, epoch: Epoch, owner: &Writer) -> Effect {
+        if self.claim.as_ref().is_some_and(|claim| claim.epoch >= epoch) {
+            return Effect::Void;
+        }
+        let claim = Claim { epoch, owner: owner.clone(), released: false };
+        self.claim = Some(claim.clone());
+        Effect::Claimed(claim)
+    }
+
+    fn release(&mut self, epoch: Epoch) -> Effect {
+        match &mut self.claim {
+            Some(claim) if claim.epoch == epoch && !claim.released => {
+                claim.released = true;
+                Effect::Released
+            }
+            _ => Effect::Void,
+        }
+    }
+
+    fn cancel(&mut self, job: &Job) -> Effect {
+        let progress = self.progress(job);
+        if progress.cancelled {
+            return Effect::Void;
+        }
+        progress.cancelled = true;
+        Effect::Cancelled(job.clone())
+    }
+
+    fn intend(&mut self, job: &Job, items: &[Item]) -> Effect {
+        let progress = self.progress(job);
+        if progress.cancelled {
+            return Effect::Void;
+        }
+        let valid = items.iter().filter(|item| item.0 < ITEM_LIMIT);
+        for item in valid {
+            progress.intended.insert(*item);
+        }
+        Effect::Intended(job.clone(), items.to_vec())
+    }
+
+    fn end(&mut self, position: Position, job: &Job, results: &[Final]) -> Effect {
+        let progress = self.progress(job);
+        if progress.cancelled {
+            return Effect::Void;
+        }
+        let mut fresh = Vec::new();
+        for result in results.iter().filter(|result| result.item.0 < ITEM_LIMIT) {
+            if progress.ended.insert(result.item) {
+                progress.completed += u32::from(result.outcome.is_success());
+                fresh.push(result.item);
+            }
+        }
+        if fresh.is_empty() {
+            return Effect::Void;
+        }
+        progress.offsets.push(position.offset);
+        Effect::Ended(job.clone(), fresh)
+    }
+
+    fn in_force(&self, epoch: Epoch) -> bool {
+        self.claim.as_ref().is_some_and(|claim| claim.epoch == epoch && !claim.released)
+    }
+
+    fn progress(&mut self, job: &Job) -> &mut Progress {
+        self.jobs.entry(job.clone()).or_default()
+    }
+}
--- /dev/null
+++ b/bulrushspread/src/batch/ledger/mod.rs
@@ -0,0 +1,9 @@
+//! The decisions of a lane's owner: which items run next, and how items end.
+
+mod ending;
+pub mod queue;
+pub mod state;
+pub mod tracked;
+
+pub use state::{Action, Ledger, Pick, Taken};
+pub use tracked::Spec;
--- a/bulrushspread/src/batch/mod.rs
+++ b/bulrushspread/src/batch/mod.rs
@@ -2,8 +2,13 @@
 
 pub mod api;
 pub mod handle;
+pub mod items;
+pub mod jobs;
+pub mod lane;
+pub mod ledger;
 pub mod message;
 pub mod owner;
+pub mod record;
 pub mod runner;
 pub mod settings;
 pub(crate) mod task;
--- a/bulrushspread/src/batch/owner/mod.rs
+++ b/bulrushspread/src/batch/owner/mod.rs
@@ -1,6 +1,8 @@
 //! The owner of a lane: holds the ledger of the lane's jobs and hands items to runners.
 
 pub mod handle;
+pub mod state;
 pub(crate) mod task;
 
 pub use handle::Handle;
+pub use state::{Action, Event, State};
--- /dev/null
+++ b/bulrushspread/src/batch/owner/state.rs
@@ -0,0 +1,487 @@
+//! The decisions of a node about one lane: when to claim it, what to grant and what to journal.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::{
+    batch::{
+        Settings,
+        items::Items,
+        lane::{self, Effect},
+        ledger::{self, Ledger, Pick, Spec, Taken},
+        message::{Outcome, Pull, Ticket},
+        record::{self, Final, Lane as Record},
+        view::Counts,
+    },
+    id::{Epoch, Incarnation, Item, Job, Lane, Vm},
+    journal::record::{Position, Writer},
+    time::Millis,
+};
+
+/// What happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// The next record of the lane's stream.
+    Record(Position, Record),
+    /// All records that stood when the read began have been taken in.
+    CaughtUp,
+    /// A read that began at this time found no record that has not been taken in.
+    Checked(Millis),
+    /// The nodes that are live, and the one that should own the lane.
+    Members { chosen: Option<Vm>, live: BTreeMap<Vm, Incarnation> },
+    /// An unfinished job of the lane stands in the jobs stream.
+    Opened(Spec),
+    /// The job has finished or given its key up to another.
+    Closed(Job),
+    /// The `custom_id` of an item, as asked for by `Action::Name` or with a grant.
+    Named(Job, Item, String),
+    /// A claim or release that was to be appended has not been.
+    NotAppended,
+    /// The node stops.
+    Stopping,
+}
+
+/// What to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Append the record; report `NotAppended` if that fails.
+    Append(Record),
+    /// Tell the runner to stop the run.
+    Stop { runner: Vm, ticket: Ticket },
+    /// Look the item's `custom_id` up and report it.
+    Name { job: Job, item: Item },
+    /// All items of the job have ended; append its index and then the end of the job.
+    Finish { job: Job, epoch: Epoch, counts: Counts, offsets: record::Offsets },
+}
+
+/// What a node knows of one lane.
+#[derive(Clone, Debug)]
+pub struct State {
+    me: Writer,
+    lane: Lane,
+    settings: Settings,
+    fold: lane::Fold,
+    caught_up: bool,
+    /// The unfinished jobs of the lane.
+    specs: BTreeMap<Job, Spec>,
+    /// Only while the claim in force is this node's.
+    ledger: Option<Ledger>,
+    /// Results that have not been read back.
+    outbox: BTreeMap<Job, BTreeMap<Item, Final>>,
+    /// Outcomes whose `custom_id` has been asked for.
+    unnamed: BTreeMap<(Job, Item), record::Outcome>,
+    /// `custom_id` of items that run.
+    names: BTreeMap<(Job, Item), String>,
+    /// Jobs whose end is being appended.
+    finishing: BTreeSet<Job>,
+    chosen: Option<Vm>,
+    live: BTreeMap<Vm, Incarnation>,
+    /// A claim or release is on its way.
+    appending: bool,
+    /// Since when another node should own the lane.
+    unwanted_since: Option<Millis>,
+    /// Since when the owner of the claim in force is not live.
+    absent_since: Option<Millis>,
+    /// At this time the claim in force was the last one for sure.
+    checked_at: Millis,
+    /// From here on no former owner hands out items.
+    settled_at: Millis,
+    /// The place of the last record taken in.
+    folded: Option<Position>,
+    stopping: bool,
+}
+
+impl State {
+    pub fn new(me: Writer, lane: Lane, settings: Settings) -> State {
+        State {
+            me,
+            lane,
+            settings,
+            fold: lane::Fold::default(),
+            caught_up: false,
+            specs: BTreeMap::new(),
+            ledger: None,
+            outbox: BTreeMap::new(),
+            unnamed: BTreeMap::new(),
+            names: BTreeMap::new(),
+            finishing: BTreeSet::new(),
+            chosen: None,
+            live: BTreeMap::new(),
+            appending: false,
+            unwanted_since: None,
+            absent_since: None,
+            checked_at: Millis::default(),
+            settled_at: Millis::default(),
+            folded: None,
+            stopping: false,
+        }
+    }
+
+    /// Takes in what happened and returns what to do.
+    pub fn apply(&mut self, now: Millis, event: Event) -> Vec<Action> {
+        let mut actions = match event {
+            Event::Record(position, record) => self.record(now, position, &record),
+            Event::CaughtUp => {
+                self.caught_up = true;
+                Vec::new()
+            }
+            Event::Checked(at) => {
+                self.checked_at = self.checked_at.max(at);
+                Vec::new()
+            }
+            Event::Members { chosen, live } => self.members(now, chosen, live),
+            Event::Opened(spec) => self.open_job(now, spec),
+            Event::Closed(job) => self.close_job(&job),
+            Event::Named(job, item, name) => self.name(job, item, name),
+            Event::NotAppended => {
+                self.appending = false;
+                Vec::new()
+            }
+            Event::Stopping => {
+                self.stopping = true;
+                Vec::new()
+            }
+        };
+        actions.extend(self.tick(now));
+        actions
+    }
+
+    /// Carries out what is due because time has passed.
+    pub fn tick(&mut self, now: Millis) -> Vec<Action> {
+        let mut actions = Vec::new();
+        if let Some(ledger) = &mut self.ledger {
+            let due = ledger.tick(now);
+            actions.extend(self.translate(due));
+        }
+        actions.extend(self.own(now));
+        actions
+    }
+
+    /// Whether the claim in force is this node's.
+    pub fn owns(&self) -> bool {
+        self.ledger.is_some()
+    }
+
+    /// Whether nothing of this node is left in the lane.
+    pub fn is_idle(&self) -> bool {
+        self.ledger.is_none() && !self.appending
+    }
+
+    /// Whether the job is cancelled and no node hands out its items any more.
+    pub fn is_cancelled(&self, now: Millis, job: &Job) -> bool {
+        let cancelled = self.fold.jobs.get(job).is_some_and(|progress| progress.cancelled);
+        cancelled && self.owns() && now >= self.settled_at
+    }
+
+    /// The place of the last record taken in.
+    pub fn folded(&self) -> Option<Position> {
+        self.folded
+    }
+
+    /// The records that the lane's stream holds so far, folded.
+    pub fn fold(&self) -> &lane::Fold {
+        &self.fold
+    }
+
+    /// Compares what the runner holds and picks items for it.
+    pub fn pull(&mut self, now: Millis, runner: &Vm, pull: &Pull) -> (Vec<Pick>, Vec<Action>) {
+        let fresh = now < self.checked_at + Millis(self.settings.outage_grant_ms);
+        let grants = fresh && !self.stopping && self.unwanted_since.is_none();
+        let Some(ledger) = &mut self.ledger else { return (Vec::new(), Vec::new()) };
+        let actions = ledger.holding(now, runner, &pull.holding);
+        let picks = if grants { ledger.grant(now, runner, &pull.room) } else { Vec::new() };
+        (picks, self.translate(actions))
+    }
+
+    /// Whether a pick whose intent has been read back may be handed out.
+    pub fn may_start(&self, ticket: &Ticket) -> bool {
+        let intended = |progress: &lane::Progress| {
+            !progress.cancelled && progress.intended.contains(ticket.item)
+        };
+        self.ledger
+            .as_ref()
+            .is_some_and(|ledger| ledger.epoch() == ticket.epoch && ledger.contains(&ticket.job))
+            && self.fold.jobs.get(&ticket.job).is_some_and(intended)
+    }
+
+    /// Takes back picks that were not handed out.
+    pub fn take_back(&mut self, tickets: &[Ticket]) {
+        let Some(ledger) = &mut self.ledger else { return };
+        for ticket in tickets {
+            ledger.take_back(ticket);
+        }
+    }
+
+    /// Takes in how a run ended. `None` if this node does not own the lane.
+    pub fn outcome(&mut self, now: Millis, outcome: &Outcome) -> Option<(Taken, Vec<Action>)> {
+        let (taken, actions) = self.ledger.as_mut()?.outcome(now, outcome);
+        Some((taken, self.translate(actions)))
+    }
+
+    /// Whether the item still needs the log to take its result.
+    pub fn is_pending(&self, job: &Job, item: Item) -> bool {
+        let waits = self.outbox.get(job).is_some_and(|results| results.contains_key(&item));
+        waits || self.unnamed.contains_key(&(job.clone(), item))
+    }
+
+    /// Results to append next, one record a job, up to about `limit_bytes`.
+    pub fn batch(&self, limit_bytes: usize) -> Vec<Record> {
+        let Some(ledger) = &self.ledger else { return Vec::new() };
+        let mut bytes = 0;
+        let mut records = Vec::new();
+        for (job, waiting) in &self.outbox {
+            let mut results = Vec::new();
+            for result in waiting.values() {
+                bytes += result.outcome.bytes() + result.custom_id.len();
+                results.push(result.clone());
+                if bytes >= limit_bytes {
+                    break;
+                }
+            }
+            records.push(Record::Results { epoch: ledger.epoch(), job: job.clone(), results });
+            if bytes >= limit_bytes {
+                break;
+            }
+        }
+        records
+    }
+
+    /// The job's counts as the stream has them.
+    pub fn counts(&self, job: &Job) -> Option<Counts> {
+        let total = self.specs.get(job)?.total;
+        let progress = self.fold.jobs.get(job);
+        Some(progress.map_or(Counts { total: u64::from(total), ..Counts::default() }, |progress| {
+            progress.counts(total)
+        }))
+    }
+
+    /// The end of the job could not be appended; it is tried again.
+    pub fn not_finished(&mut self, job: &Job) {
+        self.finishing.remove(job);
+    }
+
+    fn record(&mut self, now: Millis, position: Position, record: &Record) -> Vec<Action> {
+        let before = self.fold.claim.as_ref().is_some_and(|claim| !claim.released);
+        self.folded = Some(position);
+        match self.fold.apply(position, record) {
+            Effect::Void | Effect::Indexed(..) => Vec::new(),
+            Effect::Claimed(_) | Effect::Released => {
+                let lapse = if before { self.settings.outage_grant_ms } else { 0 };
+                self.settled_at = now + Millis(lapse);
+                self.appending = false;
+                self.lose();
+                Vec::new()
+            }
+            Effect::Intended(job, items) => {
+                for item in items {
+                    if let Some(ledger) = &mut self.ledger {
+                        ledger.intended(&job, item);
+                    }
+                }
+                Vec::new()
+            }
+            Effect::Ended(job, items) => self.ended(&job, &items),
+            Effect::Cancelled(job) => self.cancel(&job),
+        }
+    }
+
+    fn ended(&mut self, job: &Job, items: &[Item]) -> Vec<Action> {
+        if let Some(waiting) = self.outbox.get_mut(job) {
+            for item in items {
+                waiting.remove(item);
+            }
+            if waiting.is_empty() {
+                self.outbox.remove(job);
+            }
+        }
+        for item in items {
+            self.names.remove(&(job.clone(), *item));
+            self.unnamed.remove(&(job.clone(), *item));
+        }
+        let Some(ledger) = &mut self.ledger else { return Vec::new() };
+        let actions = ledger.ended(job, items);
+        let mut actions = self.translate(actions);
+        actions.extend(self.finish(job));
+        actions
+    }
+
+    fn cancel(&mut self, job: &Job) -> Vec<Action> {
+        self.drop_results(job);
+        let Some(ledger) = &mut self.ledger else { return Vec::new() };
+        let actions = ledger.remove(job);
+        let mut actions = self.translate(actions);
+        actions.extend(self.finish(job));
+        actions
+    }
+
+    fn members(
+        &mut self,
+        now: Millis,
+        chosen: Option<Vm>,
+        live: BTreeMap<Vm, Incarnation>,
+    ) -> Vec<Action> {
+        self.chosen = chosen;
+        self.live = live;
+        let Some(ledger) = &mut self.ledger else { return Vec::new() };
+        let gone: Vec<Vm> =
+            ledger.runners().filter(|vm| !self.live.contains_key(*vm)).cloned().collect();
+        let actions: Vec<ledger::Action> =
+            gone.iter().flat_map(|runner| ledger.gone(now, runner)).collect();
+        self.translate(actions)
+    }
+
+    fn open_job(&mut self, now: Millis, spec: Spec) -> Vec<Action> {
+        let job = spec.job.clone();
+        self.specs.insert(job.clone(), spec);
+        if self.ledger.is_none() {
+            return Vec::new();
+        }
+        self.track(now, &job);
+        self.finish(&job).into_iter().collect()
+    }
+
+    fn close_job(&mut self, job: &Job) -> Vec<Action> {
+        self.specs.remove(job);
+        self.finishing.remove(job);
+        self.drop_results(job);
+        self.fold.forget(job);
+        let Some(ledger) = &mut self.ledger else { return Vec::new() };
+        let actions = ledger.remove(job);
+        self.translate(actions)
+    }
+
+    fn name(&mut self, job: Job, item: Item, custom_id: String) -> Vec<Action> {
+        match self.unnamed.remove(&(job.clone(), item)) {
+            Some(outcome) => {
+                let result = Final { item, custom_id, outcome };
+                self.outbox.entry(job).or_default().insert(item, result);
+            }
+            None => {
+                self.names.insert((job, item), custom_id);
+            }
+        }
+        Vec::new()
+    }
+
+    fn drop_results(&mut self, job: &Job) {
+        self.outbox.remove(job);
+        self.unnamed.retain(|(other, _), _| other != job);
+        self.names.retain(|(other, _), _| other != job);
+    }
+
+    /// Claims the lane, takes it up or gives it up, as the claim in force and the members say.
+    fn own(&mut self, now: Millis) -> Vec<Action> {
+        if !self.caught_up {
+            return Vec::new();
+        }
+        match self.fold.claim.clone() {
+            Some(claim) if claim.owner == self.me && !claim.released => self.hold(now, claim.epoch),
+            Some(claim) if !claim.released && !self.is_absent(now, &claim.owner) => Vec::new(),
+            _ => self.claim(),
+        }
+    }
+
+    fn claim(&mut self) -> Vec<Action> {
+        if self.appending || self.stopping || self.chosen.as_ref() != Some(&self.me.vm) {
+            return Vec::new();
+        }
+        self.appending = true;
+        let (epoch, owner) = (self.fold.next_epoch(), self.me.clone());
+        vec![Action::Append(Record::Claim { epoch, owner })]
+    }
+
+    fn hold(&mut self, now: Millis, epoch: Epoch) -> Vec<Action> {
+        if self.ledger.is_none() {
+            return self.take_up(now, epoch);
+        }
+        let wanted = self.chosen.as_ref() == Some(&self.me.vm) && !self.stopping;
+        if wanted {
+            self.unwanted_since = None;
+            return Vec::new();
+        }
+        let since = *self.unwanted_since.get_or_insert(now);
+        let patience = if self.stopping { 0 } else { self.settings.handover_ms };
+        let waits = self.appending || !self.outbox.is_empty() || !self.unnamed.is_empty();
+        if waits || now < since + Millis(patience) {
+            return Vec::new();
+        }
+        self.appending = true;
+        vec![Action::Append(Record::Release { epoch })]
+    }
+
+    fn take_up(&mut self, now: Millis, epoch: Epoch) -> Vec<Action> {
+        self.ledger = Some(Ledger::new(now, self.lane, epoch, self.settings.clone()));
+        let jobs: Vec<Job> = self.specs.keys().cloned().collect();
+        for job in &jobs {
+            self.track(now, job);
+        }
+        jobs.iter().filter_map(|job| self.finish(job)).collect()
+    }
+
+    /// Forgets what only the owner may act on.
+    fn lose(&mut self) {
+        self.ledger = None;
+        self.outbox.clear();
+        self.unnamed.clear();
+        self.names.clear();
+        self.finishing.clear();
+        self.unwanted_since = None;
+        self.absent_since = None;
+    }
+
+    fn track(&mut self, now: Millis, job: &Job) {
+        let Some(ledger) = &mut self.ledger else { return };
+        let Some(spec) = self.specs.get(job) else { return };
+        let progress = self.fold.jobs.get(job);
+        if ledger.contains(job) || progress.is_some_and(|progress| progress.cancelled) {
+            return;
+        }
+        let sets = |progress: &lane::Progress| (progress.ended.clone(), progress.intended.clone());
+        let (ended, intended): (Items, Items) = progress.map(sets).unwrap_or_default();
+        ledger.add(now, spec.clone(), ended, intended);
+    }
+
+    fn finish(&mut self, job: &Job) -> Option<Action> {
+        let epoch = self.ledger.as_ref()?.epoch();
+        let total = self.specs.get(job)?.total;
+        let progress = self.fold.jobs.get(job)?;
+        let done = progress.cancelled || progress.ended.len() == total;
+        if !done || !self.finishing.insert(job.clone()) {
+            return None;
+        }
+        let (counts, offsets) = (progress.counts(total), progress.offsets.clone());
+        Some(Action::Finish { job: job.clone(), epoch, counts, offsets })
+    }
+
+    fn translate(&mut self, actions: Vec<ledger::Action>) -> Vec<Action> {
+        actions.into_iter().filter_map(|action| self.translate_one(action)).collect()
+    }
+
+    fn translate_one(&mut self, action: ledger::Action) -> Option<Action> {
+        match action {
+            ledger::Action::Stop { runner, ticket } => Some(Action::Stop { runner, ticket }),
+            ledger::Action::Journal { job, item, outcome } => {
+                match self.names.remove(&(job.clone(), item)) {
+                    Some(custom_id) => {
+                        let result = Final { item, custom_id, outcome };
+                        self.outbox.entry(job).or_default().insert(item, result);
+                        None
+                    }
+                    None => {
+                        self.unnamed.insert((job.clone(), item), outcome);
+                        Some(Action::Name { job, item })
+                    }
+                }
+            }
+        }
+    }
+
+    /// Whether the writer has not been live for some time.
+    fn is_absent(&mut self, now: Millis, writer: &Writer) -> bool {
+        if self.live.get(&writer.vm) == Some(&writer.incarnation) {
+            self.absent_since = None;
+            return false;
+        }
+        let since = *self.absent_since.get_or_insert(now);
+        now >= since + Millis(self.settings.takeover_ms)
+    }
+}
--- a/bulrushspread/src/journal/follower.rs
+++ b/bulrushspread/src/journal/follower.rs
@@ -42,6 +42,7 @@
     pub(crate) async fn run(mut self, sender: mpsc::Sender<Followed>) {
         loop {
             let wait = self.wait();
+            let began = self.wired.clock.now();
             let page = tokio::select! {
                 page = self.wired.store.read(&self.stream, self.next, wait) => page,
                 () = sender.closed() => return,
@@ -51,6 +52,9 @@
                     return;
                 }
             }
+            if self.caught_up == Some(self.next) && self.failures == 0 {
+                self.wired.checked.lock().unwrap().insert(self.stream.clone(), began);
+            }
         }
     }
 
--- a/bulrushspread/src/journal/handle.rs
+++ b/bulrushspread/src/journal/handle.rs
@@ -73,6 +73,11 @@
         receiver
     }
 
+    /// When the last read of a followed stream began whose end has been delivered.
+    pub fn checked_at(&self, stream: &Stream) -> Option<Millis> {
+        self.wired().ok()?.checked.lock().unwrap().get(stream).copied()
+    }
+
     /// Reads the entries of one append.
     pub async fn read_at(&self, stream: &Stream, offset: Offset) -> Result<Vec<Entry>> {
         let wired = self.wired()?;
--- a/bulrushspread/src/journal/task.rs
+++ b/bulrushspread/src/journal/task.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::BTreeMap,
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicBool, Ordering},
     },
     time::Duration,
@@ -49,6 +49,9 @@
     pub(crate) store: store::Shared,
     pub(crate) metrics: Metrics,
     pub(crate) follow_wait: Millis,
+    pub(crate) clock: Clock,
+    /// When the last read of a followed stream began that found its end.
+    pub(crate) checked: Arc<Mutex<BTreeMap<Stream, Millis>>>,
     reachable: Arc<AtomicBool>,
 }
 
@@ -74,6 +77,8 @@
         store: context.log.clone(),
         metrics: context.metrics.clone(),
         follow_wait: Millis(context.settings.journal.follow_wait_ms),
+        clock: context.clock.clone(),
+        checked: Arc::default(),
         reachable: Arc::new(AtomicBool::new(true)),
     };
     context.journal.wire(wired.clone());
--- /dev/null
+++ b/bulrushspread/tests/batch_lane.rs
@@ -0,0 +1,459 @@
+//! Nodes that own one lane in turn, over a log that loses answers and acts late.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bulrushspread::{
+    batch::{
+        Settings,
+        lane::Fold,
+        ledger::{Spec, Taken, queue::Pool},
+        message::{End, Outcome, Pull, Room, Ticket},
+        owner::{Action, Event, State},
+        record::Lane as Record,
+    },
+    id::{Deployment, Incarnation, Item, Job, Lane, Model, Offset, Vm, Workspace},
+    journal::record::{Position, Writer},
+    time::Millis,
+};
+use proptest::{prelude::*, test_runner::RngSeed};
+
+const NODES: [&str; 3] = ["entry-1", "entry-2", "entry-3"];
+const JOBS: [(&str, u32, bool); 3] =
+    [("route-notes", 6, true), ("offers", 4, false), ("z", 3, true)];
+
+/// What becomes of an append.
+#[derive(Clone, Copy, Debug)]
+enum Fate {
+    Stands,
+    LosesAnswer,
+    Refused,
+    ActsLate,
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Read {
+        node: usize,
+        records: usize,
+    },
+    Members {
+        node: usize,
+        chosen: usize,
+        live: [bool; 3],
+    },
+    /// The node alone believes that it should own the lane, and claims it.
+    Takeover {
+        node: usize,
+    },
+    Append {
+        node: usize,
+        fate: Fate,
+    },
+    Flush {
+        node: usize,
+        fate: Fate,
+    },
+    Pull {
+        node: usize,
+        runner: usize,
+        fate: Fate,
+    },
+    HandOut {
+        node: usize,
+    },
+    End {
+        run: usize,
+        node: usize,
+        end: End,
+    },
+    LoseRunner {
+        runner: usize,
+    },
+    Cancel {
+        job: usize,
+    },
+    Land,
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let fate = || {
+        prop_oneof![
+            5 => Just(Fate::Stands),
+            1 => Just(Fate::LosesAnswer),
+            1 => Just(Fate::Refused),
+            1 => Just(Fate::ActsLate),
+        ]
+    };
+    let reason = || "reason".to_string();
+    let end = prop_oneof![
+        4 => Just(End::Answered { status: 200, body: "{}".to_string() }),
+        1 => Just(End::Answered { status: 400, body: "{}".to_string() }),
+        1 => Just(End::Failed { reason: reason() }),
+        1 => Just(End::Crashed { reason: reason() }),
+        1 => Just(End::Unknown { reason: reason() }),
+        1 => Just(End::Returned),
+    ];
+    let node = 0..3usize;
+    prop_oneof![
+        6 => (node.clone(), 1..6usize).prop_map(|(node, records)| Step::Read { node, records }),
+        2 => (node.clone(), 0..3usize, any::<[bool; 3]>())
+            .prop_map(|(node, chosen, live)| Step::Members { node, chosen, live }),
+        2 => node.clone().prop_map(|node| Step::Takeover { node }),
+        4 => (node.clone(), fate()).prop_map(|(node, fate)| Step::Append { node, fate }),
+        3 => (node.clone(), fate()).prop_map(|(node, fate)| Step::Flush { node, fate }),
+        4 => (node.clone(), 0..2usize, fate())
+            .prop_map(|(node, runner, fate)| Step::Pull { node, runner, fate }),
+        3 => node.clone().prop_map(|node| Step::HandOut { node }),
+        5 => (0..8usize, node, end).prop_map(|(run, node, end)| Step::End { run, node, end }),
+        1 => (0..2usize).prop_map(|runner| Step::LoseRunner { runner }),
+        1 => (0..3usize).prop_map(|job| Step::Cancel { job }),
+        1 => Just(Step::Land),
+        3 => (1..300u64).prop_map(Step::Wait),
+    ]
+}
+
+struct Node {
+    state: State,
+    /// Records read so far.
+    read: usize,
+    /// Claims and releases on their way.
+    appends: Vec<Record>,
+    /// Non-idempotent picks with the place of their intent.
+    intents: Vec<(usize, Ticket, usize)>,
+}
+
+#[derive(Clone)]
+struct Run {
+    runner: usize,
+    ticket: Ticket,
+}
+
+struct World {
+    now: Millis,
+    log: Vec<Record>,
+    late: Vec<Record>,
+    nodes: Vec<Node>,
+    runs: Vec<Run>,
+    /// Runs of items that may have reached an upstream.
+    starts: BTreeMap<(Job, Item), u32>,
+    cancelled: BTreeSet<Job>,
+    finished: BTreeMap<Job, bulrushspread::batch::view::Counts>,
+}
+
+impl World {
+    fn new() -> World {
+        let settings = Settings {
+            adopt_ms: 20,
+            hold_grace_ms: 200,
+            handover_ms: 200,
+            takeover_ms: 50,
+            outage_grant_ms: 600,
+            retry_delay_ms: 10,
+            ..Settings::default()
+        };
+        let mut world = World {
+            now: Millis(1),
+            log: Vec::new(),
+            late: Vec::new(),
+            nodes: Vec::new(),
+            runs: Vec::new(),
+            starts: BTreeMap::new(),
+            cancelled: BTreeSet::new(),
+            finished: BTreeMap::new(),
+        };
+        for name in NODES {
+            let me = Writer { vm: Vm::from(name), incarnation: Incarnation(1) };
+            let state = State::new(me, Lane(0), settings.clone());
+            world.nodes.push(Node { state, read: 0, appends: Vec::new(), intents: Vec::new() });
+        }
+        for node in 0..NODES.len() {
+            for (job, total, idempotent) in JOBS {
+                world.feed(node, Event::Opened(spec(job, total, idempotent)));
+            }
+        }
+        world
+    }
+
+    fn run(&mut self, step: Step) {
+        match step {
+            Step::Read { node, records } => self.read(node, records),
+            Step::Members { node, chosen, live } => self.members(node, chosen, live),
+            Step::Takeover { node } => self.take_over(node),
+            Step::Append { node, fate } => self.append_next(node, fate),
+            Step::Flush { node, fate } => self.flush(node, fate),
+            Step::Pull { node, runner, fate } => self.pull(node, runner, fate),
+            Step::HandOut { node } => self.hand_out(node),
+            Step::End { run, node, end } => self.end(run, node, end),
+            Step::LoseRunner { runner } => self.runs.retain(|run| run.runner != runner),
+            Step::Cancel { job } => self.log.push(Record::Cancel { job: Job::from(JOBS[job].0) }),
+            Step::Land => self.land(),
+            Step::Wait(span) => self.wait(span),
+        }
+        self.note_cancelled();
+    }
+
+    fn feed(&mut self, node: usize, event: Event) {
+        let actions = self.nodes[node].state.apply(self.now, event);
+        self.take(node, actions);
+    }
+
+    fn take(&mut self, node: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Append(record) => self.nodes[node].appends.push(record),
+                Action::Stop { ticket, .. } => self.runs.retain(|run| run.ticket != ticket),
+                Action::Name { job, item } => {
+                    self.feed(node, Event::Named(job, item, item.to_string()));
+                }
+                Action::Finish { job, counts, .. } => self.finish(job, counts),
+            }
+        }
+    }
+
+    fn finish(&mut self, job: Job, counts: bulrushspread::batch::view::Counts) {
+        let earlier = self.finished.insert(job, counts).unwrap_or(counts);
+        assert_eq!(earlier, counts, "all owners come to the same counts");
+    }
+
+    /// Delivers a record to the log as fate has it. Returns its place if an answer arrives.
+    fn store(&mut self, record: Record, fate: Fate) -> Option<usize> {
+        match fate {
+            Fate::Stands | Fate::LosesAnswer => self.log.push(record),
+            Fate::Refused => {}
+            Fate::ActsLate => self.late.push(record),
+        }
+        matches!(fate, Fate::Stands).then(|| self.log.len() - 1)
+    }
+
+    fn read(&mut self, node: usize, records: usize) {
+        for _ in 0..records {
+            let place = self.nodes[node].read;
+            if place == self.log.len() {
+                self.feed(node, Event::CaughtUp);
+                self.feed(node, Event::Checked(self.now));
+                return;
+            }
+            let position = Position { offset: Offset(place as u64), index: 0 };
+            self.nodes[node].read += 1;
+            self.feed(node, Event::Record(position, self.log[place].clone()));
+        }
+    }
+
+    fn members(&mut self, node: usize, chosen: usize, live: [bool; 3]) {
+        let live = (0..3).filter(|other| live[*other] || *other == node);
+        let live = live.map(|other| (Vm::from(NODES[other]), Incarnation(1))).collect();
+        self.feed(node, Event::Members { chosen: Some(Vm::from(NODES[chosen])), live });
+    }
+
+    fn take_over(&mut self, node: usize) {
+        let mut live = [false; 3];
+        live[node] = true;
+        self.read(node, 100);
+        self.members(node, node, live);
+        self.wait(60);
+        self.append_next(node, Fate::Stands);
+        self.read(node, 100);
+        self.wait(30);
+    }
+
+    fn append_next(&mut self, node: usize, fate: Fate) {
+        if self.nodes[node].appends.is_empty() {
+            return;
+        }
+        let record = self.nodes[node].appends.remove(0);
+        if self.store(record, fate).is_none() {
+            self.feed(node, Event::NotAppended);
+        }
+    }
+
+    fn flush(&mut self, node: usize, fate: Fate) {
+        for record in self.nodes[node].state.batch(1_000) {
+            self.store(record, fate);
+        }
+    }
+
+    fn pull(&mut self, node: usize, runner: usize, fate: Fate) {
+        let held = self.runs.iter().filter(|run| run.runner == runner);
+        let pull = Pull {
+            lanes: vec![Lane(0)],
+            room: vec![Room {
+                deployment: Deployment::from("lm-pool"),
+                models: vec![Model::from("m")],
+                items: 3,
+            }],
+            holding: held.map(|run| run.ticket.clone()).collect(),
+        };
+        let runner_vm = Vm(format!("runner-{runner}"));
+        let (picks, actions) = self.nodes[node].state.pull(self.now, &runner_vm, &pull);
+        self.take(node, actions);
+        for pick in picks {
+            let ticket = pick.ticket;
+            self.feed(node, Event::Named(ticket.job.clone(), ticket.item, "id".to_string()));
+            if !pick.intend {
+                self.start(runner, ticket);
+                continue;
+            }
+            let (epoch, job) = (ticket.epoch, ticket.job.clone());
+            let intent = Record::Intent { epoch, job, items: vec![ticket.item] };
+            match self.store(intent, fate) {
+                Some(place) => self.nodes[node].intents.push((runner, ticket, place)),
+                None => self.nodes[node].state.take_back(&[ticket]),
+            }
+        }
+    }
+
+    fn hand_out(&mut self, node: usize) {
+        let read = self.nodes[node].read;
+        let (ready, waiting): (Vec<_>, Vec<_>) =
+            self.nodes[node].intents.drain(..).partition(|(_, _, place)| *place < read);
+        self.nodes[node].intents = waiting;
+        for (runner, ticket, _) in ready {
+            if self.nodes[node].state.may_start(&ticket) {
+                self.start(runner, ticket);
+            } else {
+                self.nodes[node].state.take_back(&[ticket]);
+            }
+        }
+    }
+
+    fn start(&mut self, runner: usize, ticket: Ticket) {
+        assert!(!self.cancelled.contains(&ticket.job), "no item starts after a cancel");
+        *self.starts.entry((ticket.job.clone(), ticket.item)).or_default() += 1;
+        self.runs.push(Run { runner, ticket });
+    }
+
+    fn end(&mut self, run: usize, node: usize, end: End) {
+        let Some(run) = self.runs.get(run).cloned() else { return };
+        let outcome = Outcome { ticket: run.ticket.clone(), end: end.clone() };
+        let taken = self.nodes[node].state.outcome(self.now, &outcome);
+        let Some((taken, actions)) = taken else { return };
+        self.runs.retain(|other| other.ticket != run.ticket);
+        if end == End::Returned && taken == Taken::Taken {
+            let key = (run.ticket.job, run.ticket.item);
+            self.starts.entry(key).and_modify(|starts| *starts -= 1);
+        }
+        self.take(node, actions);
+    }
+
+    fn land(&mut self) {
+        if !self.late.is_empty() {
+            let record = self.late.remove(0);
+            self.log.push(record);
+        }
+    }
+
+    fn wait(&mut self, span: u64) {
+        self.now = self.now + Millis(span);
+        for node in 0..NODES.len() {
+            let actions = self.nodes[node].state.tick(self.now);
+            self.take(node, actions);
+        }
+    }
+
+    fn note_cancelled(&mut self) {
+        for (job, _, _) in JOBS {
+            let job = Job::from(job);
+            let now = self.now;
+            if self.nodes.iter().any(|node| node.state.is_cancelled(now, &job)) {
+                self.cancelled.insert(job);
+            }
+        }
+    }
+
+    /// Everything works again and the first node is to own the lane.
+    fn settle(&mut self) {
+        for node in 0..NODES.len() {
+            self.members(node, 0, [true; 3]);
+        }
+        for _ in 0..400 {
+            self.run(Step::Land);
+            for node in 0..NODES.len() {
+                self.run(Step::Append { node, fate: Fate::Stands });
+                self.read(node, 100);
+                self.run(Step::Pull { node, runner: 0, fate: Fate::Stands });
+                self.read(node, 100);
+                self.run(Step::HandOut { node });
+                let answer = End::Answered { status: 200, body: "{}".to_string() };
+                for run in (0..self.runs.len()).rev() {
+                    self.run(Step::End { run, node, end: answer.clone() });
+                }
+                self.run(Step::Flush { node, fate: Fate::Stands });
+                self.read(node, 100);
+            }
+            self.run(Step::Wait(500));
+            if self.finished.len() == JOBS.len() {
+                return;
+            }
+        }
+    }
+}
+
+fn spec(job: &str, total: u32, idempotent: bool) -> Spec {
+    Spec {
+        job: Job::from(job),
+        workspace: Workspace(format!("workspace-of-{job}")),
+        weight: 1,
+        pool: Pool::Model(Model::from("m")),
+        due_at: Millis(0),
+        total,
+        idempotent,
+    }
+}
+
+fn check(world: &World) {
+    let mut fold = Fold::default();
+    for (place, record) in world.log.iter().enumerate() {
+        fold.apply(Position { offset: Offset(place as u64), index: 0 }, record);
+    }
+    for (job, total, idempotent) in JOBS {
+        let id = Job::from(job);
+        let counts = world.finished.get(&id).copied();
+        let progress = &fold.jobs[&id];
+        assert_eq!(counts, Some(progress.counts(total)), "{job} has finished");
+        let counts = counts.unwrap_or_default();
+        assert_eq!(counts.completed + counts.failed + counts.cancelled, u64::from(total));
+        assert_eq!(results(world, &fold, &id), u64::from(progress.ended.len()));
+        if !progress.cancelled {
+            assert_eq!(progress.ended.len(), total, "each item of {job} has a result");
+        }
+        let starts = |item| world.starts.get(&(id.clone(), Item(item))).copied().unwrap_or(0);
+        if !idempotent {
+            assert!((0..total).all(|item| starts(item) <= 1), "{job} runs items at most once");
+        }
+    }
+}
+
+/// The items whose results a reader of the index finds.
+fn results(world: &World, fold: &Fold, job: &Job) -> u64 {
+    let offsets = fold.jobs[job].offsets.iter().map(|offset| &world.log[offset.0 as usize]);
+    let items: BTreeSet<Item> = offsets
+        .flat_map(|record| match record {
+            Record::Results { results, .. } => results.iter().map(|result| result.item).collect(),
+            _ => Vec::new(),
+        })
+        .collect();
+    items.len() as u64
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 512,
+        rng_seed: RngSeed::Fixed(17),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn each_item_ends_once_whoever_owns_the_lane(
+        steps in prop::collection::vec(step(), 1..150),
+    ) {
+        let mut world = World::new();
+        world.members(0, 0, [true; 3]);
+        for step in steps {
+            world.run(step);
+        }
+        world.settle();
+        check(&world);
+    }
+}
