--- a/standins/src/fleet/caller.rs
+++ b/standins/src/fleet/caller.rs
@@ -57,8 +57,7 @@
     pub async fn chat(&self, prompt: &str, max_tokens: u32) -> Result<String> {
         let call = chat_call(&chat_body(prompt, max_tokens));
         let answer: Value = self.call(call).await?.success()?.json()?;
-        let text = answer["choices"][0]["message"]["content"].as_str();
-        Ok(text.ok_or_else(|| anyhow!("no content in {answer}"))?.to_string())
+        chat_text(&answer)
     }
 
     /// Reads a streamed completion to its end.
@@ -67,6 +66,7 @@
         let mut chat = Chat::default();
         while let Some(event) = events.next().await {
             let event = event?;
+            ensure!(event["error"].is_null(), "after {:?}: {event}", chat.text);
             let choice = &event["choices"][0];
             if let Some(text) = choice["delta"]["content"].as_str().filter(|text| !text.is_empty())
             {
@@ -124,7 +124,7 @@
         self.call(Call { path, ..call }).await
     }
 
-    /// Uploads a file of batch items and returns its id.
+    /// Uploads the lines of a file and returns its id.
     pub async fn upload(&self, lines: &str) -> Result<String> {
         let body = format!(
             "--{BOUNDARY}\r\nContent-Disposition: form-data; name=\"purpose\"\r\n\r\nbatch\r\n\
@@ -170,18 +170,7 @@
     }
 }
 
-/// The line of a batch item that asks for a chat completion.
-pub fn chat_item(custom_id: &str, prompt: &str, max_tokens: u32) -> String {
-    let item = json!({
-        "custom_id": custom_id,
-        "method": "POST",
-        "url": "/v1/chat/completions",
-        "body": chat_body(prompt, max_tokens),
-    });
-    format!("{item}\n")
-}
-
-fn chat_body(prompt: &str, max_tokens: u32) -> Value {
+pub(crate) fn chat_body(prompt: &str, max_tokens: u32) -> Value {
     json!({
         "model": MODEL,
         "max_tokens": max_tokens,
@@ -189,6 +178,12 @@
     })
 }
 
+/// The text of a whole chat completion.
+pub(crate) fn chat_text(answer: &Value) -> Result<String> {
+    let text = answer["choices"][0]["message"]["content"].as_str();
+    Ok(text.ok_or_else(|| anyhow!("no content in {answer}"))?.to_string())
+}
+
 fn chat_call(body: &Value) -> Call {
     Call::new(Method::POST, "/v1/chat/completions").json(body)
 }
