feat(batch): files, jobs and lane owners at the edge

Cause: callers need to upload, create, cancel and read at any node, and runners need items from whoever owns a lane.

Ruled out: an answer to a create before this node's fold has passed the record (two nodes could answer with two jobs for one key); a wait for the log before every acknowledged outcome (only non-idempotent items need it; an idempotent one runs again if its owner dies).

Messages `Cancelled`/`Count` ask the owner of a lane.

--- a/bulrushspread/src/batch/api.rs
+++ b/bulrushspread/src/batch/api.rs
@@ -1,69 +1,377 @@
 //! What callers can do with files and batch jobs, at any node.
 
 use bytes::Bytes;
-use futures_util::stream::BoxStream;
+use futures_util::{StreamExt, stream::BoxStream};
+use sha2::{Digest, Sha256};
 
 use crate::{
     error::{Error, Kind, Result},
-    id::{File, Job, Workspace},
+    id::{File, Job, Lane, Workspace},
+    journal::record::Position,
     node::Shared,
+    peer,
+    time::Millis,
 };
 
-use super::view::{Create, FileView, JobView};
+use super::{
+    files,
+    jobs::{FileState, JobState},
+    message::Message,
+    owner::task as owner,
+    present::{file_view, job_view, known_counts, parse_results, results_view},
+    record::{
+        self, FileCreated, Files, JobCreated, Jobs, Lane as Record, Offsets, files_stream,
+        jobs_stream, lane_stream,
+    },
+    results,
+    upload::{Chunk, Cutter, Summary},
+    view::{Counts, Create, FileView, JobView},
+};
 
 /// A body that arrives or leaves piece by piece.
 pub type Pieces = BoxStream<'static, Result<Bytes>>;
 
+/// Time that a cancel waits until no item can start any more.
+const CANCEL_TIMEOUT: Millis = Millis(8_000);
+/// Pause between two questions to the lane's owner.
+const CANCEL_PERIOD: Millis = Millis(50);
+/// The longest window in which a job may be due.
+const WINDOW_LIMIT: Millis = Millis(30 * 86_400_000);
 /// Stores a file of items, one JSON object a line, in bounded memory.
 pub async fn upload(
-    _context: &Shared,
-    _workspace: &Workspace,
-    _filename: &str,
-    _pieces: Pieces,
+    context: &Shared,
+    workspace: &Workspace,
+    filename: &str,
+    mut pieces: Pieces,
 ) -> Result<FileView> {
-    Err(unbuilt())
+    let file = File(format!("file-{}", uuid::Uuid::new_v4().simple()));
+    let mut cutter = Cutter::new(context.settings.batch.clone());
+    let mut index = (Offsets::default(), Vec::new());
+    while let Some(piece) = pieces.next().await {
+        for chunk in cutter.push(&piece?) {
+            store(context, &file, chunk, &mut index).await?;
+        }
+    }
+    let (chunks, summary) = cutter.finish();
+    for chunk in chunks {
+        store(context, &file, chunk, &mut index).await?;
+    }
+    let (offsets, lines) = index;
+    let index = append_file(context, &file, Files::Index { file: file.clone(), offsets, lines });
+    let created = file_created(context, &file, workspace, filename, summary, index.await?);
+    append_job(context, &Jobs::FileCreated(created.clone())).await?;
+    Ok(file_view(&created))
 }
 
 /// Creates a job. The same `key` with the same content gives the same job.
 pub async fn create(
-    _context: &Shared,
-    _workspace: &Workspace,
-    _key: Option<&str>,
-    _create: Create,
+    context: &Shared,
+    workspace: &Workspace,
+    key: Option<&str>,
+    create: Create,
 ) -> Result<JobView> {
-    Err(unbuilt())
+    let directory = &context.batch.owner.directory;
+    directory.check()?;
+    let window = parse_window(&create.completion_window)?;
+    let file = find_file(context, workspace, &File(create.input_file_id.clone()))?;
+    check_file(&file, &create)?;
+    let digest = digest(&file.created, &create);
+    if let Some(earlier) = key.and_then(|key| by_key(context, workspace, key)) {
+        return same(&earlier, &digest);
+    }
+    let created = job_created(context, workspace, key, create, window, digest.clone(), &file);
+    let job = created.job.clone();
+    append_job(context, &Jobs::JobCreated(created)).await?;
+    let stands = match key {
+        Some(key) => by_key(context, workspace, key),
+        None => directory.fold().job(&job).cloned(),
+    };
+    let stands = stands.ok_or_else(|| Error::new(Kind::NotFound, "the input file is gone"))?;
+    same(&stands, &digest)
 }
 
 /// The job as this node knows it, asking the lane's owner for counts where it can.
-pub async fn get(_context: &Shared, _workspace: &Workspace, _job: &Job) -> Result<JobView> {
-    Err(unbuilt())
+pub async fn get(context: &Shared, workspace: &Workspace, job: &Job) -> Result<JobView> {
+    let state = find_job(context, workspace, job)?;
+    let counts = match &state.finished {
+        Some(finished) => finished.counts,
+        None => ask_counts(context, &state).await,
+    };
+    Ok(job_view(&state, counts))
 }
 
 /// Jobs of the workspace, newest first, from after `after` on.
 pub async fn list(
-    _context: &Shared,
-    _workspace: &Workspace,
-    _after: Option<&Job>,
-    _limit: usize,
+    context: &Shared,
+    workspace: &Workspace,
+    after: Option<&Job>,
+    limit: usize,
 ) -> Result<Vec<JobView>> {
-    Err(unbuilt())
+    context.batch.owner.directory.check()?;
+    let fold = context.batch.owner.directory.fold();
+    let newest = fold
+        .newest(workspace)
+        .skip_while(|state| after.is_some_and(|after| state.created.job != *after));
+    let page = newest.skip(usize::from(after.is_some())).take(limit);
+    Ok(page.map(|state| job_view(state, known_counts(state))).collect())
 }
 
 /// Cancels a job. When this returns, no further item starts.
-pub async fn cancel(_context: &Shared, _workspace: &Workspace, _job: &Job) -> Result<JobView> {
-    Err(unbuilt())
+pub async fn cancel(context: &Shared, workspace: &Workspace, job: &Job) -> Result<JobView> {
+    let state = find_job(context, workspace, job)?;
+    if state.finished.is_some() {
+        return get(context, workspace, job).await;
+    }
+    let lane = files::lane(context, &state.created.file);
+    if !state.cancelled {
+        let stream = lane_stream(&context.settings.environment, lane);
+        let record = encode(&Record::Cancel { job: job.clone() })?;
+        context.journal.append(&stream, vec![record]).await?;
+        append_job(context, &Jobs::JobCancelled { job: job.clone() }).await?;
+    }
+    let until = context.clock.now() + CANCEL_TIMEOUT;
+    while context.clock.now() < until {
+        if find_job(context, workspace, job)?.finished.is_some()
+            || ask_cancelled(context, lane, job).await
+        {
+            return get(context, workspace, job).await;
+        }
+        tokio::time::sleep(CANCEL_PERIOD.duration()).await;
+    }
+    Err(Error::new(Kind::InProgress, "the cancel stands, but items may still start for a while"))
 }
 
 /// A file's description.
-pub async fn file(_context: &Shared, _workspace: &Workspace, _file: &File) -> Result<FileView> {
-    Err(unbuilt())
+pub async fn file(context: &Shared, workspace: &Workspace, file: &File) -> Result<FileView> {
+    if let Some((job, part)) = parse_results(file) {
+        let state = find_job(context, workspace, &job)?;
+        return results_view(file, &state, part);
+    }
+    Ok(file_view(&find_file(context, workspace, file)?.created))
 }
 
 /// A file's content: the uploaded lines, or one line a result.
-pub async fn content(_context: &Shared, _workspace: &Workspace, _file: &File) -> Result<Pieces> {
-    Err(unbuilt())
+pub async fn content(context: &Shared, workspace: &Workspace, file: &File) -> Result<Pieces> {
+    if let Some((job, part)) = parse_results(file) {
+        let state = find_job(context, workspace, &job)?;
+        let lane = files::lane(context, &state.created.file);
+        let Some(finished) = &state.finished else {
+            return Err(Error::new(Kind::NotFound, "the job has not ended"));
+        };
+        return results::pieces(context, lane, finished, part).await;
+    }
+    let created = find_file(context, workspace, file)?.created;
+    let index = files::index(context, &created.file).await?;
+    let reader = (context.clone(), created.file, index, 0);
+    let pieces = futures_util::stream::unfold(reader, |(context, file, index, next)| async move {
+        let (_, offset) = *index.chunks.get(next)?;
+        let chunk = files::chunk(&context, &file, offset).await;
+        let following = if chunk.is_ok() { next + 1 } else { usize::MAX };
+        let piece = chunk.map(|chunk| Bytes::copy_from_slice(&chunk));
+        Some((piece, (context, file, index, following)))
+    });
+    Ok(pieces.boxed())
+}
+
+async fn store(
+    context: &Shared,
+    file: &File,
+    chunk: Chunk,
+    index: &mut (Offsets, Vec<u32>),
+) -> Result<()> {
+    let lines = chunk.lines;
+    let record = Files::Chunk { file: file.clone(), data: chunk.data };
+    let position = append_file(context, file, record).await?;
+    index.0.push(position.offset);
+    index.1.push(lines);
+    Ok(())
+}
+
+/// Appends to the files stream. Until the `FileCreated` stands, such a record means nothing.
+async fn append_file(context: &Shared, file: &File, record: Files) -> Result<Position> {
+    let stream = files_stream(&context.settings.environment, files::lane(context, file));
+    let appended = context.journal.append(&stream, vec![encode(&record)?]).await;
+    let positions = appended.map_err(|error| match error.kind {
+        Kind::Unconfirmed => Error { kind: Kind::LogUnavailable, ..error },
+        _ => error,
+    })?;
+    positions.first().copied().ok_or_else(|| Error::new(Kind::Internal, "no position"))
+}
+
+/// Appends to the jobs stream and waits until this node has folded the record.
+async fn append_job(context: &Shared, record: &Jobs) -> Result<()> {
+    let stream = jobs_stream(&context.settings.environment);
+    let positions = context.journal.append(&stream, vec![encode(record)?]).await?;
+    for position in positions {
+        context.batch.owner.directory.wait_for(position).await?;
+    }
+    Ok(())
+}
+
+fn encode<T: serde::Serialize>(record: &T) -> Result<Vec<u8>> {
+    record::encode(record).map_err(|error| Error::new(Kind::Internal, error.to_string()))
+}
+
+fn file_created(
+    context: &Shared,
+    file: &File,
+    workspace: &Workspace,
+    filename: &str,
+    summary: Summary,
+    index: Position,
+) -> FileCreated {
+    FileCreated {
+        file: file.clone(),
+        workspace: workspace.clone(),
+        filename: filename.to_string(),
+        bytes: summary.bytes,
+        items: summary.items,
+        created_at: context.clock.wall(),
+        digest: summary.digest,
+        fault: summary.fault,
+        url: summary.url,
+        model: summary.model,
+        index,
+    }
+}
+
+fn job_created(
+    context: &Shared,
+    workspace: &Workspace,
+    key: Option<&str>,
+    create: Create,
+    window: Millis,
+    digest: String,
+    file: &FileState,
+) -> JobCreated {
+    let created_at = context.clock.wall();
+    JobCreated {
+        job: Job(format!("batch-{}", uuid::Uuid::new_v4().simple())),
+        workspace: workspace.clone(),
+        key: key.map(str::to_string),
+        digest,
+        file: file.created.file.clone(),
+        items: file.created.items,
+        endpoint: create.endpoint,
+        model: file.created.model.clone(),
+        completion_window: create.completion_window,
+        idempotent: create.idempotent,
+        metadata: create.metadata,
+        created_at,
+        due_at: created_at + window,
+    }
+}
+
+fn check_file(file: &FileState, create: &Create) -> Result<()> {
+    if let Some(fault) = &file.created.fault {
+        return Err(Error::new(Kind::BadRequest, fault.clone()));
+    }
+    match &file.created.url {
+        Some(url) if *url == create.endpoint => Ok(()),
+        url => {
+            let url = url.as_deref().unwrap_or_default();
+            let message = format!("endpoint is {:?} but the items call {url:?}", create.endpoint);
+            Err(Error::new(Kind::BadRequest, message))
+        }
+    }
+}
+
+/// What makes two requests the same: the content of the file and all that was asked.
+fn digest(file: &FileCreated, create: &Create) -> String {
+    let asked = (
+        &file.digest,
+        &create.endpoint,
+        &create.completion_window,
+        create.idempotent,
+        &create.metadata,
+    );
+    hex::encode(Sha256::digest(serde_json::to_vec(&asked).unwrap_or_default()))
+}
+
+fn same(state: &JobState, digest: &str) -> Result<JobView> {
+    if state.created.digest != digest {
+        let message = "the Idempotency-Key was used for a job with other content";
+        return Err(Error::new(Kind::Conflict, message));
+    }
+    Ok(job_view(state, known_counts(state)))
+}
+
+fn by_key(context: &Shared, workspace: &Workspace, key: &str) -> Option<JobState> {
+    context.batch.owner.directory.fold().by_key(workspace, key).cloned()
+}
+
+fn find_file(context: &Shared, workspace: &Workspace, file: &File) -> Result<FileState> {
+    let directory = &context.batch.owner.directory;
+    let state = directory.fold().file(file).cloned();
+    match state.filter(|state| state.created.workspace == *workspace) {
+        Some(state) => Ok(state),
+        None => {
+            directory.check()?;
+            Err(Error::new(Kind::NotFound, format!("no file {file}")))
+        }
+    }
+}
+
+fn find_job(context: &Shared, workspace: &Workspace, job: &Job) -> Result<JobState> {
+    let directory = &context.batch.owner.directory;
+    let state = directory.fold().job(job).cloned();
+    match state.filter(|state| state.created.workspace == *workspace) {
+        Some(state) => Ok(state),
+        None => {
+            directory.check()?;
+            Err(Error::new(Kind::NotFound, format!("no job {job}")))
+        }
+    }
+}
+
+/// Asks the node that should own the lane.
+async fn ask(context: &Shared, lane: Lane, message: Message) -> Option<Message> {
+    let view = context.membership.view();
+    let owner = owner::choose(&view, lane)?;
+    let address = view.nodes.get(&owner)?.address;
+    match context.peer.call(address, peer::Message::Batch(message)).await {
+        Ok(peer::Message::Batch(answer)) => Some(answer),
+        Ok(_) | Err(_) => None,
+    }
+}
+
+async fn ask_counts(context: &Shared, state: &JobState) -> Counts {
+    let lane = files::lane(context, &state.created.file);
+    let job = &state.created.job;
+    if let Some(counts) = owner::counts(context, lane, job).await {
+        return counts;
+    }
+    match ask(context, lane, Message::Count(lane, job.clone())).await {
+        Some(Message::Counted(Some(counts))) => counts,
+        _ => known_counts(state),
+    }
+}
+
+async fn ask_cancelled(context: &Shared, lane: Lane, job: &Job) -> bool {
+    if owner::is_cancelled(context, lane, job).await {
+        return true;
+    }
+    let answer = ask(context, lane, Message::Cancelled(lane, job.clone())).await;
+    matches!(answer, Some(Message::Ended(true)))
 }
 
-fn unbuilt() -> Error {
-    Error::new(Kind::Internal, "batch jobs are not available yet")
+/// Reads a window such as `24h`, `90m` or `30s`.
+fn parse_window(text: &str) -> Result<Millis> {
+    let invalid = || {
+        let message = format!("completion_window {text:?} is not like 24h, 90m or 30s");
+        Error::new(Kind::BadRequest, message)
+    };
+    let unit = match text.chars().last() {
+        Some('s') => 1_000,
+        Some('m') => 60_000,
+        Some('h') => 3_600_000,
+        Some('d') => 86_400_000,
+        _ => return Err(invalid()),
+    };
+    let count: u64 = text[..text.len() - 1].parse().map_err(|_| invalid())?;
+    let window = Millis(count.saturating_mul(unit));
+    if window == Millis(0) || window > WINDOW_LIMIT {
+        return Err(invalid());
+    }
+    Ok(window)
 }
--- /dev/null
+++ b/bulrushspread/src/batch/files.rs
@@ -0,0 +1,159 @@
+//! Reads items of input files from the log and keeps the last chunks in memory.
+
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::{Arc, Mutex},
+};
+
+use serde::Deserialize;
+use serde_json::value::RawValue;
+
+use crate::{
+    error::{Error, Kind, Result},
+    id::{File, Item, Lane, Offset},
+    node::Shared,
+};
+
+use super::record::{self, Files, files_stream, lane_of};
+
+/// Indexes of files that are kept in memory.
+const INDEX_LIMIT: usize = 256;
+
+/// One line of an input file.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Line {
+    pub custom_id: String,
+    #[serde(default)]
+    pub method: Option<String>,
+    pub url: String,
+    /// The JSON body as the caller wrote it.
+    pub body: Box<RawValue>,
+}
+
+/// Chunks and indexes read lately. Shared by all lanes of the node.
+#[derive(Default)]
+pub struct Cache {
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    indexes: BTreeMap<File, Arc<Index>>,
+    chunks: BTreeMap<(File, Offset), Arc<Vec<u8>>>,
+    /// The keys of `chunks`, the oldest first.
+    order: VecDeque<(File, Offset)>,
+    /// Sum of the sizes of `chunks`.
+    bytes: usize,
+}
+
+/// Where the chunks of a file stand.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Index {
+    /// The first line of each chunk and the chunk's offset.
+    pub(crate) chunks: Vec<(u32, Offset)>,
+}
+
+impl Index {
+    /// The first line and the offset of the chunk that holds the line.
+    fn chunk(&self, line: u32) -> Option<(u32, Offset)> {
+        let after = self.chunks.partition_point(|(first, _)| *first <= line);
+        self.chunks.get(after.checked_sub(1)?).copied()
+    }
+}
+
+/// The line of an item.
+pub(crate) async fn line(context: &Shared, file: &File, item: Item) -> Result<Line> {
+    let index = index(context, file).await?;
+    let missing = || Error::new(Kind::Internal, format!("{file} has no line {item}"));
+    let (first, offset) = index.chunk(item.0).ok_or_else(missing)?;
+    let chunk = chunk(context, file, offset).await?;
+    let line = chunk.split(|byte| *byte == b'\n').nth((item.0 - first) as usize);
+    serde_json::from_slice(line.ok_or_else(missing)?)
+        .map_err(|error| Error::new(Kind::Internal, error.to_string()))
+}
+
+/// The offsets of the file's chunks.
+pub(crate) async fn index(context: &Shared, file: &File) -> Result<Arc<Index>> {
+    let cache = &context.batch.owner.files;
+    if let Some(index) = cache.state.lock().unwrap().indexes.get(file) {
+        return Ok(index.clone());
+    }
+    let position = {
+        let fold = context.batch.owner.directory.fold();
+        let state = fold.file(file).ok_or_else(|| Error::new(Kind::NotFound, "no such file"))?;
+        state.created.index
+    };
+    for record in read(context, file, position.offset).await? {
+        if let Files::Index { file: of, offsets, lines } = record
+            && of == *file
+        {
+            let index = Arc::new(build(&offsets, &lines));
+            cache.keep_index(file, &index);
+            return Ok(index);
+        }
+    }
+    Err(Error::new(Kind::Internal, format!("{file} has no index")))
+}
+
+/// The lines of one chunk.
+pub(crate) async fn chunk(context: &Shared, file: &File, offset: Offset) -> Result<Arc<Vec<u8>>> {
+    let cache = &context.batch.owner.files;
+    let key = (file.clone(), offset);
+    if let Some(chunk) = cache.state.lock().unwrap().chunks.get(&key) {
+        return Ok(chunk.clone());
+    }
+    for record in read(context, file, offset).await? {
+        if let Files::Chunk { file: of, data } = record
+            && of == *file
+        {
+            let chunk = Arc::new(data);
+            cache.keep_chunk(key, &chunk, context.settings.batch.cache_bytes);
+            return Ok(chunk);
+        }
+    }
+    Err(Error::new(Kind::Internal, format!("{file} has no chunk at {offset}")))
+}
+
+/// The lane of a file under this node's settings.
+pub(crate) fn lane(context: &Shared, file: &File) -> Lane {
+    lane_of(file, context.settings.batch.lanes)
+}
+
+async fn read(context: &Shared, file: &File, offset: Offset) -> Result<Vec<Files>> {
+    let stream = files_stream(&context.settings.environment, lane(context, file));
+    let entries = context.journal.read_at(&stream, offset).await?;
+    let records = entries.iter().filter_map(|entry| record::decode(&entry.record.body).ok());
+    Ok(records.collect())
+}
+
+fn build(offsets: &record::Offsets, lines: &[u32]) -> Index {
+    let firsts = lines.iter().scan(0, |next, lines| {
+        let first = *next;
+        *next += lines;
+        Some(first)
+    });
+    Index { chunks: firsts.zip(offsets.iter()).collect() }
+}
+
+impl Cache {
+    fn keep_index(&self, file: &File, index: &Arc<Index>) {
+        let mut state = self.state.lock().unwrap();
+        if state.indexes.len() >= INDEX_LIMIT {
+            state.indexes.pop_first();
+        }
+        state.indexes.insert(file.clone(), index.clone());
+    }
+
+    fn keep_chunk(&self, key: (File, Offset), chunk: &Arc<Vec<u8>>, limit: usize) {
+        let mut state = self.state.lock().unwrap();
+        if state.chunks.insert(key.clone(), chunk.clone()).is_none() {
+            state.bytes += chunk.len();
+            state.order.push_back(key);
+        }
+        while state.bytes > limit && state.order.len() > 1 {
+            let Some(oldest) = state.order.pop_front() else { return };
+            let dropped = state.chunks.remove(&oldest).map_or(0, |chunk| chunk.len());
+            state.bytes -= dropped;
+        }
+    }
+}
--- a/bulrushspread/src/batch/jobs.rs
+++ b/bulrushspread/src/batch/jobs.rs
@@ -1,6 +1,9 @@
 //! The fold of the `jobs` stream: files, jobs and the keys that callers gave them.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use crate::{
     id::{File, Job, Workspace},
@@ -37,7 +40,7 @@
     pub position: Position,
     /// Where the last copy of the record stands.
     pub carried: Position,
-    pub created: JobCreated,
+    pub created: Arc<JobCreated>,
     pub cancelled: bool,
     /// Set once and never changed.
     pub finished: Option<JobFinished>,
@@ -158,7 +161,7 @@
         if let Some(file) = self.files.get_mut(&job.file) {
             file.open_jobs += 1;
         }
-        let created = job.clone();
+        let created = Arc::new(job.clone());
         let state = JobState { position, carried, created, cancelled: false, finished: None };
         self.jobs.insert(id, state);
     }
--- a/bulrushspread/src/batch/ledger/state.rs
+++ b/bulrushspread/src/batch/ledger/state.rs
@@ -99,6 +99,13 @@
         self.jobs.contains_key(job)
     }
 
+    /// Whether the ticket's run is the one that the item has.
+    pub fn is_running(&self, ticket: &Ticket) -> bool {
+        let tracked = self.jobs.get(&ticket.job);
+        let run = tracked.and_then(|tracked| tracked.running.get(&ticket.item));
+        run.is_some_and(|run| run.ticket == *ticket)
+    }
+
     /// Whether results wait for the log.
     pub fn is_ending(&self) -> bool {
         self.ending_bytes > 0
--- a/bulrushspread/src/batch/message.rs
+++ b/bulrushspread/src/batch/message.rs
@@ -7,6 +7,8 @@
     time::Millis,
 };
 
+use super::view::Counts;
+
 /// What nodes tell one another about batch work.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
@@ -19,9 +21,15 @@
     Stop(Stop),
     /// Any node to a runner: online work was dispatched to an upstream of the runner.
     Yield(Yield),
+    /// Any node to a lane owner: may an item of the cancelled job still start? Answered by `Ended`.
+    Cancelled(Lane, Job),
+    Ended(bool),
+    /// Any node to a lane owner: how many items have ended? Answered by `Counted`.
+    Count(Lane, Job),
+    Counted(Option<Counts>),
 }
 
-/// Names one run of one item. A ticket of an older epoch or attempt is void.
+/// Names one run of one item. Of an older epoch or attempt only an answer counts.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Ticket {
     pub lane: Lane,
--- a/bulrushspread/src/batch/mod.rs
+++ b/bulrushspread/src/batch/mod.rs
@@ -1,6 +1,8 @@
 //! Batch jobs: their lanes, ledgers, runners and results.
 
 pub mod api;
+pub mod directory;
+pub mod files;
 pub mod handle;
 pub mod items;
 pub mod jobs;
@@ -8,10 +10,13 @@
 pub mod ledger;
 pub mod message;
 pub mod owner;
+pub(crate) mod present;
 pub mod record;
+pub(crate) mod results;
 pub mod runner;
 pub mod settings;
 pub(crate) mod task;
+pub mod upload;
 pub mod view;
 
 pub use handle::Handle;
--- /dev/null
+++ b/bulrushspread/src/batch/owner/command.rs
@@ -0,0 +1,38 @@
+//! What the tasks of the node ask of the task of a lane.
+
+use tokio::sync::oneshot;
+
+use crate::{
+    batch::{
+        message::{Grant, Outcome, Pull},
+        view::Counts,
+    },
+    id::{Job, Vm},
+};
+
+use super::state::Event;
+
+/// A question or an event for one lane.
+#[derive(Debug)]
+pub(crate) enum Command {
+    Pull {
+        runner: Vm,
+        pull: Pull,
+        reply: oneshot::Sender<Grant>,
+    },
+    /// Answered with false where this node does not own the lane or the log does not confirm.
+    Outcomes {
+        outcomes: Vec<Outcome>,
+        reply: oneshot::Sender<bool>,
+    },
+    /// Whether no item of the cancelled job starts or runs any more.
+    Cancelled {
+        job: Job,
+        reply: oneshot::Sender<bool>,
+    },
+    Counts {
+        job: Job,
+        reply: oneshot::Sender<Option<Counts>>,
+    },
+    Event(Event),
+}
--- a/bulrushspread/src/batch/owner/mod.rs
+++ b/bulrushspread/src/batch/owner/mod.rs
@@ -1,5 +1,8 @@
 //! The owner of a lane: holds the ledger of the lane's jobs and hands items to runners.
 
+pub(crate) mod actor;
+pub(crate) mod command;
+pub(crate) mod deed;
 pub mod handle;
 pub mod state;
 pub(crate) mod task;
--- a/bulrushspread/src/batch/owner/state.rs
+++ b/bulrushspread/src/batch/owner/state.rs
@@ -17,11 +17,16 @@
     time::Millis,
 };
 
+/// Handover times after which a live owner that keeps the lane is deposed.
+const HANDOVERS: u64 = 6;
+
 /// What happened.
 #[derive(Clone, Debug)]
 pub enum Event {
     /// The next record of the lane's stream.
     Record(Position, Record),
+    /// The next record of the lane's stream, which is of a job that has finished.
+    Skipped(Position),
     /// All records that stood when the read began have been taken in.
     CaughtUp,
     /// A read that began at this time found no record that has not been taken in.
@@ -73,14 +78,16 @@
     names: BTreeMap<(Job, Item), String>,
     /// Jobs whose end is being appended.
     finishing: BTreeSet<Job>,
+    /// Jobs whose end could not be appended.
+    refinish: BTreeSet<Job>,
     chosen: Option<Vm>,
     live: BTreeMap<Vm, Incarnation>,
     /// A claim or release is on its way.
     appending: bool,
     /// Since when another node should own the lane.
     unwanted_since: Option<Millis>,
-    /// Since when the owner of the claim in force is not live.
-    absent_since: Option<Millis>,
+    /// Whether the owner of the claim in force is live, and since when this node waits for it.
+    waits: Option<(bool, Millis)>,
     /// At this time the claim in force was the last one for sure.
     checked_at: Millis,
     /// From here on no former owner hands out items.
@@ -104,11 +111,12 @@
             unnamed: BTreeMap::new(),
             names: BTreeMap::new(),
             finishing: BTreeSet::new(),
+            refinish: BTreeSet::new(),
             chosen: None,
             live: BTreeMap::new(),
             appending: false,
             unwanted_since: None,
-            absent_since: None,
+            waits: None,
             checked_at: Millis::default(),
             settled_at: Millis::default(),
             folded: None,
@@ -120,6 +128,10 @@
     pub fn apply(&mut self, now: Millis, event: Event) -> Vec<Action> {
         let mut actions = match event {
             Event::Record(position, record) => self.record(now, position, &record),
+            Event::Skipped(position) => {
+                self.folded = Some(position);
+                Vec::new()
+            }
             Event::CaughtUp => {
                 self.caught_up = true;
                 Vec::new()
@@ -153,6 +165,9 @@
             actions.extend(self.translate(due));
         }
         actions.extend(self.own(now));
+        while let Some(job) = self.refinish.pop_first() {
+            actions.extend(self.finish(&job));
+        }
         actions
     }
 
@@ -161,9 +176,22 @@
         self.ledger.is_some()
     }
 
-    /// Whether nothing of this node is left in the lane.
-    pub fn is_idle(&self) -> bool {
-        self.ledger.is_none() && !self.appending
+    /// Whether nothing of this node is left in the lane and nothing is to come.
+    pub fn is_done(&self) -> bool {
+        let wanted = self.chosen.as_ref() == Some(&self.me.vm) && !self.stopping;
+        let holds = self.fold.claim.as_ref();
+        let holds = holds.is_some_and(|claim| claim.owner == self.me && !claim.released);
+        !wanted && !holds && !self.appending
+    }
+
+    /// Whether the ticket's run is the one that the item has.
+    pub fn is_running(&self, ticket: &Ticket) -> bool {
+        self.ledger.as_ref().is_some_and(|ledger| ledger.is_running(ticket))
+    }
+
+    /// Whether items of the job may run again.
+    pub fn is_idempotent(&self, job: &Job) -> bool {
+        self.specs.get(job).is_none_or(|spec| spec.idempotent)
     }
 
     /// Whether the job is cancelled and no node hands out its items any more.
@@ -256,7 +284,9 @@
 
     /// The end of the job could not be appended; it is tried again.
     pub fn not_finished(&mut self, job: &Job) {
-        self.finishing.remove(job);
+        if self.finishing.remove(job) {
+            self.refinish.insert(job.clone());
+        }
     }
 
     fn record(&mut self, now: Millis, position: Position, record: &Record) -> Vec<Action> {
@@ -375,7 +405,7 @@
         }
         match self.fold.claim.clone() {
             Some(claim) if claim.owner == self.me && !claim.released => self.hold(now, claim.epoch),
-            Some(claim) if !claim.released && !self.is_absent(now, &claim.owner) => Vec::new(),
+            Some(claim) if !claim.released && !self.may_depose(now, &claim.owner) => Vec::new(),
             _ => self.claim(),
         }
     }
@@ -425,7 +455,7 @@
         self.names.clear();
         self.finishing.clear();
         self.unwanted_since = None;
-        self.absent_since = None;
+        self.waits = None;
     }
 
     fn track(&mut self, now: Millis, job: &Job) {
@@ -475,13 +505,16 @@
         }
     }
 
-    /// Whether the writer has not been live for some time.
-    fn is_absent(&mut self, now: Millis, writer: &Writer) -> bool {
-        if self.live.get(&writer.vm) == Some(&writer.incarnation) {
-            self.absent_since = None;
-            return false;
-        }
-        let since = *self.absent_since.get_or_insert(now);
-        now >= since + Millis(self.settings.takeover_ms)
+    /// Whether the owner has been gone for some time, or has not handed over for much longer.
+    fn may_depose(&mut self, now: Millis, owner: &Writer) -> bool {
+        let live = self.live.get(&owner.vm) == Some(&owner.incarnation);
+        let patience = match live {
+            true => self.settings.handover_ms * HANDOVERS,
+            false => self.settings.takeover_ms,
+        };
+        let wanted = self.chosen.as_ref() == Some(&self.me.vm);
+        let waits = self.waits.filter(|(other, _)| wanted && *other == live);
+        let (_, since) = *self.waits.insert(waits.unwrap_or((live, now)));
+        wanted && now >= since + Millis(patience)
     }
 }
--- a/bulrushspread/src/batch/owner/task.rs
+++ b/bulrushspread/src/batch/owner/task.rs
@@ -1,27 +1,220 @@
-//! The tasks of the lane owner: claims, journalling of outcomes, grants.
+//! The tasks of the lane owner: which lanes this node follows, and the way to their tasks.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use tokio::sync::{mpsc, oneshot};
 
 use crate::{
-    batch::message::{Grant, Outcomes, Pull},
-    id::Vm,
+    batch::{
+        directory, files,
+        ledger::{Spec, queue::Pool},
+        message::{Grant, Outcome, Outcomes, Pull},
+        record::JobCreated,
+        view::Counts,
+    },
+    id::{Incarnation, Job, Lane, Vm, Workspace},
+    membership::View,
     node::Shared,
+    rendezvous,
+    time::Millis,
 };
 
+use super::{actor::Actor, command::Command, state::Event};
+
 pub(crate) type Result<T> = anyhow::Result<T>;
 
+/// Time after the start of the process in which no lane is claimed, so that the view can fill.
+const START_DELAY: Millis = Millis(2_000);
+/// Time between two looks at the members.
+const MEMBERS_PERIOD: Duration = Duration::from_millis(200);
+/// Time that the release of all lanes may take.
+const RELEASE_TIMEOUT: Duration = Duration::from_secs(8);
+/// The first part of the path of a plain service.
+const SERVICES: &str = "/services/";
+
 /// Starts the tasks of the owner.
-pub(crate) async fn start(_context: &Shared) -> Result<()> {
+pub(crate) async fn start(context: &Shared) -> Result<()> {
+    tokio::spawn(directory::follow(context.clone()));
+    tokio::spawn(watch_members(context.clone()));
     Ok(())
 }
 
 /// Releases the lanes of this node.
-pub(crate) async fn stop(_context: &Shared) {}
+pub(crate) async fn stop(context: &Shared) {
+    tell_all(context, &Event::Stopping);
+    let released = async {
+        while !context.batch.owner.lanes.lock().unwrap().is_empty() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    if tokio::time::timeout(RELEASE_TIMEOUT, released).await.is_err() {
+        log::warn!("batch: not all lanes were released before the stop");
+    }
+}
 
 /// Grants items of lanes that this node owns; nothing for other lanes.
-pub(crate) async fn pull(_context: &Shared, _runner: &Vm, _pull: Pull) -> Grant {
-    Grant { work: Vec::new() }
+pub(crate) async fn pull(context: &Shared, runner: &Vm, mut pull: Pull) -> Grant {
+    let mut work = Vec::new();
+    for lane in pull.lanes.clone() {
+        let (reply, answer) = oneshot::channel();
+        let part = Pull { lanes: vec![lane], ..pull.clone() };
+        send(context, lane, Command::Pull { runner: runner.clone(), pull: part, reply });
+        let Ok(grant) = answer.await else { continue };
+        for granted in grant.work {
+            take_room(&mut pull, granted.model.as_ref(), &granted.url);
+            work.push(granted);
+        }
+    }
+    work.sort_by_key(|work| work.due_in);
+    Grant { work }
 }
 
 /// Takes over outcomes of a runner. Returns once they no longer need the runner.
-pub(crate) async fn outcomes(_context: &Shared, _runner: &Vm, _outcomes: Outcomes) -> Result<()> {
+pub(crate) async fn outcomes(context: &Shared, _runner: &Vm, outcomes: Outcomes) -> Result<()> {
+    let mut by_lane: BTreeMap<Lane, Vec<Outcome>> = BTreeMap::new();
+    for outcome in outcomes.outcomes {
+        by_lane.entry(outcome.ticket.lane).or_default().push(outcome);
+    }
+    for (lane, outcomes) in by_lane {
+        let (reply, answer) = oneshot::channel();
+        send(context, lane, Command::Outcomes { outcomes, reply });
+        if !answer.await.unwrap_or(false) {
+            anyhow::bail!("lane {lane} did not take the outcomes over");
+        }
+    }
     Ok(())
 }
+
+/// Whether no item of the cancelled job starts or runs any more, as the lane's owner knows.
+pub(crate) async fn is_cancelled(context: &Shared, lane: Lane, job: &Job) -> bool {
+    let (reply, answer) = oneshot::channel();
+    send(context, lane, Command::Cancelled { job: job.clone(), reply });
+    answer.await.unwrap_or(false)
+}
+
+/// The counts of the job, if this node owns the lane.
+pub(crate) async fn counts(context: &Shared, lane: Lane, job: &Job) -> Option<Counts> {
+    let (reply, answer) = oneshot::channel();
+    send(context, lane, Command::Counts { job: job.clone(), reply });
+    answer.await.unwrap_or(None)
+}
+
+/// Tells all lanes of this node.
+pub(crate) fn tell_all(context: &Shared, event: &Event) {
+    for lane in context.batch.owner.lanes.lock().unwrap().values() {
+        let _ = lane.send(Command::Event(event.clone()));
+    }
+}
+
+/// Tells the job's lane of an unfinished job.
+pub(crate) fn open(context: &Shared, created: &JobCreated) {
+    let lane = files::lane(context, &created.file);
+    send(context, lane, Command::Event(Event::Opened(spec(context, created))));
+}
+
+/// The node that should own the lane, as every node with the same view sees it.
+pub(crate) fn choose(view: &View, lane: Lane) -> Option<Vm> {
+    let members = view.nodes.iter().filter(|(_, node)| !node.leaving).map(|(vm, _)| vm);
+    rendezvous::choose(&format!("lane-{lane}"), members).cloned()
+}
+
+fn send(context: &Shared, lane: Lane, command: Command) {
+    if let Some(sender) = context.batch.owner.lanes.lock().unwrap().get(&lane) {
+        let _ = sender.send(command);
+    }
+}
+
+/// Takes a granted item off the room that is left for the next lanes.
+fn take_room(pull: &mut Pull, model: Option<&crate::id::Model>, url: &str) {
+    let room = pull.room.iter_mut().find(|room| {
+        room.items > 0
+            && match model {
+                Some(model) => room.models.contains(model),
+                None => service(url) == Some(&room.deployment.0),
+            }
+    });
+    if let Some(room) = room {
+        room.items -= 1;
+    }
+}
+
+/// The name in the path of a plain service.
+fn service(url: &str) -> Option<&str> {
+    url.strip_prefix(SERVICES)?.split(['/', '?']).next()
+}
+
+fn spec(context: &Shared, created: &JobCreated) -> Spec {
+    let pool = match (&created.model, service(&created.endpoint)) {
+        (Some(model), _) => Pool::Model(model.clone()),
+        (None, service) => Pool::Service(service.unwrap_or_default().to_string()),
+    };
+    Spec {
+        job: created.job.clone(),
+        workspace: created.workspace.clone(),
+        weight: weight(context, &created.workspace),
+        pool,
+        due_at: created.due_at,
+        total: created.items,
+        idempotent: created.idempotent,
+    }
+}
+
+fn weight(context: &Shared, workspace: &Workspace) -> u32 {
+    let current = context.config.current();
+    let mut pieces = current.document.pieces.values();
+    pieces.find_map(|piece| piece.workspaces.get(workspace)).map_or(1, |spec| spec.weight)
+}
+
+/// Starts the tasks of lanes that this node should own and tells them of the members.
+async fn watch_members(context: Shared) {
+    let mut told = None;
+    loop {
+        tokio::time::sleep(MEMBERS_PERIOD).await;
+        let ready = context.batch.owner.directory.is_complete();
+        if !ready || context.clock.now() < START_DELAY {
+            continue;
+        }
+        let view = context.membership.view();
+        let changed = told.as_ref() != Some(&view);
+        for lane in (0..context.settings.batch.lanes).map(Lane) {
+            watch_lane(&context, &view, lane, changed);
+        }
+        told = Some(view);
+    }
+}
+
+fn watch_lane(context: &Shared, view: &View, lane: Lane, changed: bool) {
+    let chosen = choose(view, lane);
+    let followed = context.batch.owner.lanes.lock().unwrap().contains_key(&lane);
+    if !followed && chosen.as_ref() != Some(&context.settings.vm) {
+        return;
+    }
+    if !followed {
+        start_lane(context, lane);
+    }
+    if changed || !followed {
+        let live = view.nodes.iter().map(|(vm, node)| (vm.clone(), node.incarnation));
+        let live: BTreeMap<Vm, Incarnation> = live.collect();
+        send(context, lane, Command::Event(Event::Members { chosen, live }));
+    }
+}
+
+fn start_lane(context: &Shared, lane: Lane) {
+    if *context.phase.borrow() == crate::node::Phase::Draining {
+        return;
+    }
+    let (sender, commands) = mpsc::unbounded_channel();
+    context.batch.owner.lanes.lock().unwrap().insert(lane, sender);
+    let open: Vec<_> = {
+        let fold = context.batch.owner.directory.fold();
+        let open = fold.jobs().filter(|job| job.finished.is_none());
+        open.map(|job| job.created.clone()).collect()
+    };
+    for created in open {
+        if files::lane(context, &created.file) == lane {
+            let event = Event::Opened(spec(context, &created));
+            send(context, lane, Command::Event(event));
+        }
+    }
+    tokio::spawn(Actor::new(context.clone(), lane).run(commands));
+}
--- a/bulrushspread/src/batch/task.rs
+++ b/bulrushspread/src/batch/task.rs
@@ -38,7 +38,15 @@
         }
         Message::Stop(stop) => runner::task::stop_items(context, stop).await,
         Message::Yield(yield_to) => runner::task::make_room(context, &vm, yield_to),
-        Message::Grant(_) => {}
+        Message::Cancelled(lane, job) => {
+            let ended = owner::task::is_cancelled(context, lane, &job).await;
+            return PeerMessage::Batch(Message::Ended(ended));
+        }
+        Message::Count(lane, job) => {
+            let counts = owner::task::counts(context, lane, &job).await;
+            return PeerMessage::Batch(Message::Counted(counts));
+        }
+        Message::Grant(_) | Message::Ended(_) | Message::Counted(_) => {}
     }
     PeerMessage::Done
 }
