feat(gateway): files and batch jobs

Cause: callers had no way to batch jobs. Change: `/v1/files` (a form or the bare lines, streamed piece by piece; content streamed back) and `/v1/batches` (create with `Idempotency-Key`, get, list, cancel) on `batch::api`. A create or cancel goes on when its caller leaves. Ruled out: passing the boxed stream on as body (not `Sync`); a bounded channel carries the pieces.

--- a/bulrushspread/src/batch/runner/ending.rs
+++ b/bulrushspread/src/batch/runner/ending.rs
@@ -134,8 +134,8 @@
 
 fn end_run(now: Millis, run: &mut Run, target: Option<Target>, fate: Fate) {
     match fate {
-        Fate::Finished { reason } => {
-            let body = request::answer(&run.work, &run.text, &reason);
+        Fate::Finished { reason, created } => {
+            let body = request::answer(&run.work, &run.text, reason, created);
             run.end(End::Answered { status: 200, body });
         }
         Fate::Answered { status, body } => run.end(End::Answered { status, body }),
--- a/bulrushspread/src/batch/runner/execute.rs
+++ b/bulrushspread/src/batch/runner/execute.rs
@@ -105,7 +105,7 @@
         let token = Event::Token { start: start.clone(), index: event.index, text: event.text };
         task::feed(context, token);
         if let Some(reason) = event.finish {
-            return Fate::Finished { reason };
+            return Fate::Finished { reason, created: context.clock.wall().0 / 1_000 };
         }
     }
     Fate::Broken { reason: "the stream ended early".to_string() }
--- a/bulrushspread/src/batch/runner/message.rs
+++ b/bulrushspread/src/batch/runner/message.rs
@@ -32,8 +32,8 @@
 /// Why a run came to an end.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Fate {
-    /// The stream of an engine is whole.
-    Finished { reason: String },
+    /// The stream of an engine is whole. `created` counts seconds since the Unix epoch.
+    Finished { reason: String, created: u64 },
     /// A plain service answered.
     Answered { status: u16, body: String },
     /// No byte was sent, or the upstream refused without running the request.
--- a/bulrushspread/src/gateway/mod.rs
+++ b/bulrushspread/src/gateway/mod.rs
@@ -2,11 +2,13 @@
 
 pub(crate) mod answer;
 pub(crate) mod auth;
+mod batches;
 pub(crate) mod body;
 mod completions;
 pub(crate) mod directory;
+mod files;
 mod models;
-mod openai;
+pub(crate) mod openai;
 mod services;
 pub mod settings;
 pub(crate) mod task;
--- a/bulrushspread/src/gateway/services.rs
+++ b/bulrushspread/src/gateway/services.rs
@@ -111,7 +111,8 @@
     Ok(pass_back(answer))
 }
 
-fn key(headers: &HeaderMap) -> error::Result<Option<String>> {
+/// The idempotency key of the request.
+pub(super) fn key(headers: &HeaderMap) -> error::Result<Option<String>> {
     let Some(value) = headers.get(KEY_HEADER) else { return Ok(None) };
     let key = value.to_str().ok().filter(|key| (1..=KEY_BYTES).contains(&key.len()));
     let key = key.ok_or_else(|| {
--- a/bulrushspread/src/gateway/task.rs
+++ b/bulrushspread/src/gateway/task.rs
@@ -17,7 +17,7 @@
 
 use super::{
     answer::{self, Outcome},
-    completions, models, services,
+    batches, completions, files, models, services,
 };
 
 /// The running listener, until the node stops.
@@ -63,6 +63,13 @@
     api: &mut ApiDescription<Shared>,
 ) -> std::result::Result<(), dropshot::ApiDescriptionRegisterError> {
     api.register(ready)?;
+    api.register(batches::cancel_batch)?;
+    api.register(batches::create_batch)?;
+    api.register(batches::get_batch)?;
+    api.register(batches::list_batches)?;
+    api.register(files::create_file)?;
+    api.register(files::get_file)?;
+    api.register(files::get_file_content)?;
     api.register(completions::create_chat_completion)?;
     api.register(completions::create_completion)?;
     api.register(models::list_models)?;
--- a/standins/src/experiment/trial.rs
+++ b/standins/src/experiment/trial.rs
@@ -112,7 +112,7 @@
     let mut jobs = Vec::new();
     for job in 0..JOBS {
         let caller = fleet.caller(job % options.nodes);
-        let file = caller.upload_text(&workload.job(job, items, policy.batch_model())).await?;
+        let file = caller.upload(&workload.job(job, items, policy.batch_model())).await?;
         let extra = json!({ "endpoint": "/v1/completions" });
         let answer = caller.create_job(&file, None, &extra).await?.success()?;
         let view: Value = answer.json()?;
