--- a/bulrushspread/src/gateway/directory.rs
+++ b/bulrushspread/src/gateway/directory.rs
@@ -6,10 +6,7 @@
 };
 
 use crate::{
-    config::{
-        Handle, InForce,
-        document::ServiceSpec,
-    },
+    config::{Handle, InForce, document::ServiceSpec},
     id::{Deployment, Model, Offset, Service, Workspace},
 };
 
--- a/bulrushspread/src/node.rs
+++ b/bulrushspread/src/node.rs
@@ -69,6 +69,7 @@
     pub config: config::Handle,
     pub journal: journal::Handle,
     pub membership: membership::Handle,
+    pub operator: operator::Handle,
     pub route: route::Handle,
 }
 
@@ -123,6 +124,7 @@
             settings.data_centre.clone(),
             incarnation.0,
         ),
+        operator: operator::Handle::default(),
         settings,
     })
 }
