--- a/bulrushspread/src/node.rs
+++ b/bulrushspread/src/node.rs
@@ -119,12 +119,12 @@
         config: config::Handle::default(),
         journal: journal::Handle::default(),
         membership: membership::Handle::default(),
+        operator: operator::Handle::default(),
         route: route::Handle::new(
             settings.route.clone(),
             settings.data_centre.clone(),
             incarnation.0,
         ),
-        operator: operator::Handle::default(),
         settings,
     })
 }
