--- a/bulrushspread/src/attempt/drive.rs
+++ b/bulrushspread/src/attempt/drive.rs
@@ -8,7 +8,7 @@
 use crate::{
     error::Result,
     node::Shared,
-    route::{Lease, Want, state::End},
+    route::{Lease, Refusal, Want, state::End},
     time::Millis,
     upstream::{Failure, Reached},
 };
@@ -107,6 +107,7 @@
                     let Some(progress) = progress.take() else { continue };
                     self.deliver(progress).await;
                 }
+                Action::Share => self.share(),
                 Action::Cancel => self.cancel(End::Failed),
                 Action::Wake(at) => self.wake = at,
                 Action::Finish(result) => {
@@ -119,15 +120,20 @@
     }
 
     fn dispatch(&mut self, attempt: u32, choice: Choice) -> Event {
-        let Some(lease) = self.pick(choice) else { return Event::NoUpstream };
+        let lease = match self.pick(choice) {
+            Ok(lease) => lease,
+            Err(Refusal::Busy) => return Event::Busy,
+            Err(Refusal::NoReplica) => return Event::NoUpstream,
+        };
         let upstream = lease.pick.upstream.clone();
         let running = self.work.send(&self.context, lease.pick.address, &self.delivered);
         self.running = Some((attempt, lease, running));
         Event::Picked { upstream }
     }
 
-    fn pick(&self, choice: Choice) -> Option<Lease> {
-        self.serves.iter().find_map(|serves| {
+    fn pick(&self, choice: Choice) -> std::result::Result<Lease, Refusal> {
+        let mut refusal = Refusal::NoReplica;
+        for serves in &self.serves {
             let want = Want {
                 serves: serves.clone(),
                 model: self.work.model(),
@@ -136,8 +142,12 @@
                 prefer: choice.prefer.clone(),
                 isolation: choice.isolation,
             };
-            self.context.route.pick(&self.context, &want)
-        })
+            match self.context.route.pick(&self.context, &want) {
+                Ok(lease) => return Ok(lease),
+                Err(reason) => refusal = refusal.min(reason),
+            }
+        }
+        Err(refusal)
     }
 
     /// Waits for the caller to leave, progress of the upstream, or the time to wake.
@@ -170,7 +180,7 @@
                 Next::Event(event(attempt, &progress), Some(progress))
             }
             Some(Err(failure)) => {
-                let loss = classify(&self.context, address, &failure).await;
+                let loss = classify(&self.context, &self.work, address, &failure).await;
                 Next::Event(Event::Lost { attempt, loss }, None)
             }
             None => Next::Event(Event::Lost { attempt, loss: Loss::Broken }, None),
@@ -203,6 +213,13 @@
         });
     }
 
+    /// Lets other requests run beside the current attempt again.
+    fn share(&mut self) {
+        if let Some((_, lease, _)) = &mut self.running {
+            lease.share();
+        }
+    }
+
     fn cancel(&mut self, end: End) {
         let Some((_, lease, running)) = self.running.take() else { return };
         drop(running);
@@ -242,7 +259,7 @@
 }
 
 /// What a failure says of the dispatch. Asks whether the upstream is still alive.
-async fn classify(context: &Shared, address: SocketAddr, failure: &Failure) -> Loss {
+async fn classify(context: &Shared, work: &Work, address: SocketAddr, failure: &Failure) -> Loss {
     if failure.refused {
         return Loss::Refused;
     }
@@ -250,7 +267,7 @@
         return Loss::NotSent;
     }
     for _ in 0..PROBES {
-        if context.upstreams.alive(address).await {
+        if work.is_alive(context, address).await {
             return Loss::Broken;
         }
         tokio::time::sleep(PROBE_PAUSE.duration()).await;
--- a/bulrushspread/src/attempt/intents.rs
+++ b/bulrushspread/src/attempt/intents.rs
@@ -13,6 +13,7 @@
     id::{Offset, Stream},
     journal::{Followed, record::Position},
     node::Shared,
+    peer::message::Message as PeerMessage,
     time::Millis,
     upstream::Answer,
 };
@@ -20,6 +21,7 @@
 use super::{
     call::stream_index,
     intent::{Entry, Fold, Intent, Key, Outcome, Record, Stage},
+    message::Message,
 };
 
 /// Pause before the log is tried again.
@@ -128,7 +130,7 @@
                 Err(Error::new(Kind::OutcomeUnknown, message))
             }
             Stage::Unknown => Err(unknown()),
-            Stage::Running if runs(context, &entry.intent) => {
+            Stage::Running if runs(context, &entry.intent).await => {
                 Err(Error::new(Kind::InProgress, "the call is running"))
             }
             Stage::Running => Err(unknown()),
@@ -240,15 +242,20 @@
     });
 }
 
-/// Whether the process that wrote the intent may still be running it.
-fn runs(context: &Shared, intent: &Intent) -> bool {
+/// Whether the process that wrote the intent may still be running it. Asks it, where it can.
+async fn runs(context: &Shared, intent: &Intent) -> bool {
     if intent.vm == context.settings.vm {
         return intent.incarnation == context.incarnation;
     }
-    let view = context.membership.view();
-    match view.nodes.get(&intent.vm) {
-        Some(node) => node.incarnation <= intent.incarnation,
-        None => context.clock.wall() - intent.at < VIEW_LAG,
+    let young = context.clock.wall() - intent.at < VIEW_LAG;
+    let address = context.membership.view().nodes.get(&intent.vm).map(|node| node.address);
+    let Some(address) = address else { return young };
+    let ask = PeerMessage::Attempt(Message::Ask);
+    match context.peer.call(address, ask).await {
+        Ok(PeerMessage::Attempt(Message::Runs { incarnation })) => {
+            incarnation == intent.incarnation
+        }
+        _ => young,
     }
 }
 
--- a/bulrushspread/src/attempt/message.rs
+++ b/bulrushspread/src/attempt/message.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::id::Incarnation;
+
 use super::quarantine::Suspect;
 
 /// What nodes tell one another in this slice.
@@ -9,4 +11,9 @@
 pub enum Message {
     /// Requests that crash upstreams, or that no longer stand under suspicion.
     Suspects(Vec<Suspect>),
+    /// Asks which process runs at the receiver. Answered by `Runs`.
+    Ask,
+    Runs {
+        incarnation: Incarnation,
+    },
 }
--- a/bulrushspread/src/attempt/state.rs
+++ b/bulrushspread/src/attempt/state.rs
@@ -20,6 +20,11 @@
 /// Doublings of the backoff after which it stays the same.
 const MAX_DOUBLINGS: u32 = 16;
 
+/// Doublings of the backoff of a request that waits for its turn to run alone.
+const BUSY_DOUBLINGS: u32 = 2;
+/// Events beyond the one at which its upstream died that clear a suspect for the time being.
+const OUTLIVED_EVENTS: u32 = 4;
+
 /// What the requests of one node share.
 pub struct Node {
     pub budget: Budget,
@@ -76,6 +81,8 @@
     },
     /// No upstream could be chosen.
     NoUpstream,
+    /// All upstreams run other suspects now.
+    Busy,
     /// An event of a stream. `last` when it ends the stream.
     Token {
         attempt: u32,
@@ -101,6 +108,8 @@
     Dispatch { attempt: u32, from: u32, choice: Choice },
     /// Hand the event that was just applied to the caller.
     Deliver,
+    /// The request has outlived what killed its upstream: others may run beside it.
+    Share,
     /// Cancel the current attempt at its upstream.
     Cancel,
     /// Apply a tick at this time.
@@ -138,6 +147,8 @@
     next: u32,
     /// Whether an upstream may have received a byte.
     sent: bool,
+    /// The index that was next when an upstream died.
+    died_at: u32,
     choice: Choice,
 }
 
@@ -151,6 +162,7 @@
             attempt: 0,
             next: 0,
             sent: false,
+            died_at: 0,
             choice: Choice::default(),
         }
     }
@@ -178,6 +190,10 @@
                 self.choice.avoid.clear();
                 self.retry(now, node)
             }
+            Event::Busy => {
+                self.attempt = self.attempt.saturating_sub(1);
+                self.pause(now + node.backoff(BUSY_DOUBLINGS))
+            }
             Event::Token { attempt, index, last } => self.token(now, attempt, index, last, node),
             Event::Answered { attempt } if self.runs(attempt) => {
                 self.sent = true;
@@ -215,7 +231,10 @@
         }
         self.next += 1;
         if !last {
-            return vec![Action::Deliver];
+            let outlived = self.next == self.died_at + OUTLIVED_EVENTS
+                && self.choice.isolation == Isolation::Alone;
+            let share = outlived.then_some(Action::Share);
+            return [Action::Deliver].into_iter().chain(share).collect();
         }
         node.quarantine.succeeded(&self.fingerprint);
         let mut actions = vec![Action::Deliver];
@@ -228,6 +247,7 @@
         self.sent |= loss != Loss::NotSent;
         self.choice.prefer = None;
         if loss == Loss::Died {
+            self.died_at = self.next;
             let verdict = node.quarantine.died(now, self.fingerprint, &upstream);
             if verdict == Verdict::Quarantined {
                 return self.finish(Err(quarantined()));
@@ -250,6 +270,10 @@
             return self.give_up();
         }
         let until = now + node.backoff(self.attempt);
+        self.pause(until)
+    }
+
+    fn pause(&mut self, until: Millis) -> Vec<Action> {
         if until >= self.deadline {
             return self.give_up();
         }
--- a/bulrushspread/src/attempt/task.rs
+++ b/bulrushspread/src/attempt/task.rs
@@ -26,6 +26,11 @@
             let now = context.clock.now();
             context.attempt.node().quarantine.merge(now, suspects);
         }
+        Message::Ask => {
+            let incarnation = context.incarnation;
+            return PeerMessage::Attempt(Message::Runs { incarnation });
+        }
+        Message::Runs { .. } => {}
     }
     PeerMessage::Done
 }
--- a/bulrushspread/src/attempt/work.rs
+++ b/bulrushspread/src/attempt/work.rs
@@ -74,6 +74,15 @@
         }
     }
 
+    /// Whether the upstream at the address answers at all.
+    pub(super) async fn is_alive(&self, context: &Shared, address: SocketAddr) -> bool {
+        let report = match self {
+            Work::Generate(_) => context.upstreams.report(address).await,
+            Work::Call(_) => context.upstreams.service_report(address).await,
+        };
+        report.is_ok()
+    }
+
     /// Cancels a generation at its engine. A call can't be cancelled.
     pub(super) fn cancel(&self, context: &Shared, address: SocketAddr) {
         let Work::Generate(generation) = self else { return };
--- a/bulrushspread/src/gateway/directory.rs
+++ b/bulrushspread/src/gateway/directory.rs
@@ -1,7 +1,7 @@
 //! The document in force, indexed by what requests are looked up by.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{Arc, Mutex},
 };
 
@@ -19,6 +19,7 @@
     offset: Offset,
     /// By the digest of a caller's key.
     keys: BTreeMap<String, Caller>,
+    deployments: BTreeSet<Deployment>,
     models: BTreeMap<Model, Vec<Target>>,
     services: BTreeMap<Service, Arc<ServiceSpec>>,
 }
@@ -48,6 +49,7 @@
             }
             for (deployment, spec) in &piece.deployments {
                 let target = Target { deployment: deployment.clone(), slots: spec.slots };
+                directory.deployments.insert(deployment.clone());
                 for model in &spec.models {
                     directory.models.entry(model.clone()).or_default().push(target.clone());
                 }
@@ -73,6 +75,11 @@
         self.models.get(&Model::from(base)).map_or(&[], Vec::as_slice)
     }
 
+    /// Whether there is a deployment of this name.
+    pub(crate) fn has_deployment(&self, name: &str) -> bool {
+        self.deployments.contains(&Deployment::from(name))
+    }
+
     /// The plain service of this name.
     pub(crate) fn service(&self, service: &Service) -> Option<Arc<ServiceSpec>> {
         self.services.get(service).cloned()
--- a/bulrushspread/src/route/handle.rs
+++ b/bulrushspread/src/route/handle.rs
@@ -8,7 +8,7 @@
     time::Millis,
 };
 
-use super::{Pick, Settings, State, Want, state::End};
+use super::{Pick, Refusal, Settings, State, Want, state::End};
 
 /// Shared by all tasks of the node. Cheap to clone.
 #[derive(Clone)]
@@ -22,11 +22,11 @@
     }
 
     /// Chooses a replica and tells its batch runner that online work is about to be sent there.
-    pub fn pick(&self, context: &Shared, want: &Want) -> Option<Lease> {
+    pub fn pick(&self, context: &Shared, want: &Want) -> Result<Lease, Refusal> {
         let now = context.clock.now();
         let pick = self.state().pick(now, want)?;
         context.batch.runner.dispatched(context, &pick.upstream, pick.in_flight);
-        Some(Lease { context: context.clone(), pick, started: now, end: End::Neutral, first: true })
+        Ok(Lease { context: context.clone(), pick, started: now, end: End::Neutral, first: true })
     }
 
     /// Slots of all replicas of a name that take requests.
@@ -64,6 +64,11 @@
         self.context.route.state().answered(&self.pick.upstream, latency);
     }
 
+    /// Lets other requests join one that was picked to run alone.
+    pub fn share(&mut self) {
+        self.context.route.state().share(&mut self.pick);
+    }
+
     /// Ends the request with what it shows of the replica's health.
     pub fn finish(mut self, end: End) {
         self.end = end;
--- a/bulrushspread/src/route/mod.rs
+++ b/bulrushspread/src/route/mod.rs
@@ -17,4 +17,4 @@
 pub use handle::{Handle, Lease};
 pub use message::Load;
 pub use settings::Settings;
-pub use state::{Isolation, Pick, State, Want};
+pub use state::{Isolation, Pick, Refusal, State, Want};
--- a/bulrushspread/src/route/state.rs
+++ b/bulrushspread/src/route/state.rs
@@ -60,6 +60,14 @@
     pub in_flight: u32,
 }
 
+/// Why no replica was chosen. The lesser one is to be acted on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Refusal {
+    /// Those that could serve the request run suspects.
+    Busy,
+    NoReplica,
+}
+
 /// How a request ended, as far as the health of its replica goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
@@ -133,17 +141,29 @@
     }
 
     /// Chooses a replica and counts the request as in flight there.
-    pub fn pick(&mut self, now: Millis, want: &Want) -> Option<Pick> {
+    pub fn pick(&mut self, now: Millis, want: &Want) -> Result<Pick, Refusal> {
         self.readmit(now);
         self.open(want);
-        let upstream = self.choose(now, want)?;
-        let replica = self.replicas.get_mut(&upstream)?;
+        let upstream = self.choose(now, want).ok_or_else(|| self.refusal(want))?;
+        let replica = self.replicas.get_mut(&upstream).ok_or(Refusal::NoReplica)?;
         replica.own += 1;
         let isolation = want.isolation == Isolation::Alone;
         replica.suspect |= isolation;
         let pick = Pick { address: replica.address, in_flight: replica.own, isolation, upstream };
-        self.groups.get_mut(&want.serves)?.started(now);
-        Some(pick)
+        if let Some(group) = self.groups.get_mut(&want.serves) {
+            group.started(now);
+        }
+        Ok(pick)
+    }
+
+    /// Lets other requests join one that was picked to run alone.
+    pub fn share(&mut self, pick: &mut Pick) {
+        if !std::mem::take(&mut pick.isolation) {
+            return;
+        }
+        if let Some(replica) = self.replicas.get_mut(&pick.upstream) {
+            replica.suspect = false;
+        }
     }
 
     /// A first answer has come from a replica.
@@ -307,7 +327,22 @@
         let second = draw(&mut self.rng, open, allowed);
         let drawn = better.into_iter().chain(first).chain(second);
         let best = drawn.min_by(|a, b| cost(a).total_cmp(&cost(b)));
-        best.or_else(|| open.iter().find(|upstream| allowed(upstream))).cloned()
+        let best = best.or_else(|| open.iter().find(|upstream| allowed(upstream)));
+        best.or_else(|| open.iter().find(|upstream| self.is_healthy(want, upstream))).cloned()
+    }
+
+    fn is_healthy(&self, want: &Want, upstream: &Upstream) -> bool {
+        let replica = self.replicas.get(upstream);
+        !want.avoid.contains(upstream)
+            && replica.is_some_and(|replica| replica.health.standing == Standing::Healthy)
+    }
+
+    fn refusal(&self, want: &Want) -> Refusal {
+        let group = self.groups.get(&want.serves);
+        let open = group.and_then(|group| group.open.get(&want.model));
+        let busy =
+            open.is_some_and(|open| open.iter().any(|upstream| !want.avoid.contains(upstream)));
+        if busy { Refusal::Busy } else { Refusal::NoReplica }
     }
 
     /// The number of replicas at the front that the online load of all nodes needs.
--- a/bulrushspread/src/route/task.rs
+++ b/bulrushspread/src/route/task.rs
@@ -6,7 +6,7 @@
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
 use crate::{
-    id::{Upstream, Vm},
+    id::{Service, Upstream, Vm},
     membership::View,
     node::Shared,
     peer::message::Message as PeerMessage,
@@ -65,9 +65,10 @@
     loop {
         ticks.tick().await;
         let view = views.borrow_and_update().clone();
-        if known.as_ref() != Some(&view) {
-            polled = polled_upstreams(&context.settings.vm, &view);
-            known = Some(view.clone());
+        let offset = context.config.current().offset;
+        if known.as_ref() != Some(&(view.clone(), offset)) {
+            polled = polled_upstreams(&context, &view);
+            known = Some((view.clone(), offset));
         }
         let loads = join_all(polled.iter().map(|target| ask(&context, target))).await;
         let loads: Vec<Load> = loads.into_iter().flatten().collect();
@@ -76,18 +77,45 @@
     }
 }
 
+/// A replica that this node asks for its load.
+struct Polled {
+    upstream: Upstream,
+    address: SocketAddr,
+    kind: Kind,
+}
+
+enum Kind {
+    Engine,
+    Service,
+}
+
 /// The replicas that this node asks: each has one reporter among the live nodes.
-fn polled_upstreams(own: &Vm, view: &View) -> Vec<(Upstream, SocketAddr)> {
+fn polled_upstreams(context: &Shared, view: &View) -> Vec<Polled> {
+    let own = &context.settings.vm;
+    let directory = context.directory.get(&context.config);
+    // What the document doesn't name yet is not asked: it may take any path for a call.
+    let kind = |serves: &str| match directory.service(&Service::from(serves)) {
+        Some(_) => Some(Kind::Service),
+        None => directory.has_deployment(serves).then_some(Kind::Engine),
+    };
     let reporter = |upstream: &Upstream| rendezvous::choose(&upstream.0, view.nodes.keys());
     view.upstreams
         .iter()
         .filter(|(upstream, _)| reporter(upstream).is_none_or(|vm| vm == own))
-        .map(|(upstream, replica)| (upstream.clone(), replica.address))
+        .filter_map(|(upstream, replica)| {
+            let kind = kind(&replica.serves)?;
+            Some(Polled { upstream: upstream.clone(), address: replica.address, kind })
+        })
         .collect()
 }
 
-async fn ask(context: &Shared, (upstream, address): &(Upstream, SocketAddr)) -> Option<Load> {
-    match context.upstreams.report(*address).await {
+async fn ask(context: &Shared, polled: &Polled) -> Option<Load> {
+    let report = match polled.kind {
+        Kind::Engine => context.upstreams.report(polled.address).await,
+        Kind::Service => context.upstreams.service_report(polled.address).await,
+    };
+    let upstream = &polled.upstream;
+    match report {
         Ok(report) => Some(Load::new(upstream.clone(), report)),
         Err(failure) => {
             if failure.reached == Reached::Nothing {
--- a/bulrushspread/src/upstream/http.rs
+++ b/bulrushspread/src/upstream/http.rs
@@ -47,9 +47,13 @@
 }
 
 impl Http {
-    async fn get(&self, address: SocketAddr, path: &str) -> Result<web::Answer> {
+    async fn load(&self, address: SocketAddr, path: &str) -> Result<Report> {
         let request = json(Method::GET, address, path, Vec::new())?;
-        self.web.send(request, CONTROL_TIMEOUT).await.map_err(failure)
+        let answer = self.web.send(request, CONTROL_TIMEOUT).await.map_err(failure)?;
+        if !answer.status.is_success() {
+            return Err(refusal(answer.status));
+        }
+        serde_json::from_slice(&answer.body).map_err(invalid)
     }
 }
 
@@ -86,18 +90,11 @@
     }
 
     async fn report(&self, address: SocketAddr) -> Result<Report> {
-        let mut answer = self.get(address, ENGINE_LOAD_PATH).await?;
-        if answer.status == StatusCode::NOT_FOUND {
-            answer = self.get(address, SERVICE_LOAD_PATH).await?;
-        }
-        if !answer.status.is_success() {
-            return Err(refusal(answer.status));
-        }
-        serde_json::from_slice(&answer.body).map_err(invalid)
+        self.load(address, ENGINE_LOAD_PATH).await
     }
 
-    async fn alive(&self, address: SocketAddr) -> bool {
-        self.get(address, ENGINE_LOAD_PATH).await.is_ok()
+    async fn service_report(&self, address: SocketAddr) -> Result<Report> {
+        self.load(address, SERVICE_LOAD_PATH).await
     }
 
     async fn order(&self, address: SocketAddr, order: Order, fence: u64) -> Result<()> {
--- a/bulrushspread/src/upstream/mod.rs
+++ b/bulrushspread/src/upstream/mod.rs
@@ -118,12 +118,12 @@
     /// Cancels a stream. Cancelling an unknown stream succeeds.
     async fn cancel(&self, address: SocketAddr, id: &str) -> Result<()>;
 
-    /// Asks for the load report.
+    /// Asks an engine for its load report.
     async fn report(&self, address: SocketAddr) -> Result<Report>;
 
-    /// Whether anything answers at the address, if only with an error.
-    async fn alive(&self, address: SocketAddr) -> bool {
-        self.report(address).await.is_ok()
+    /// Asks a plain service for its load report.
+    async fn service_report(&self, address: SocketAddr) -> Result<Report> {
+        self.report(address).await
     }
 
     /// Gives an order with fencing number `fence`.
