--- a/bulrushspread/src/gateway/body.rs
+++ b/bulrushspread/src/gateway/body.rs
@@ -11,6 +11,10 @@
 
 use super::{Settings, answer::library_error};
 
+/// Bytes of a too large body that are read and dropped. A caller that is still sending when its
+/// connection closes never sees the refusal.
+const DISCARDED_BYTES: usize = 8 << 20;
+
 /// Reads the whole body. Refuses one that is too large or that arrives too slowly.
 pub(crate) async fn read(body: StreamingBody, settings: &Settings) -> Result<Bytes> {
     let timeout = Millis(settings.body_timeout_ms);
@@ -25,16 +29,20 @@
 async fn collect(body: StreamingBody, limit: usize) -> Result<Bytes> {
     let pieces = body.into_stream();
     pin_mut!(pieces);
-    let mut whole = BytesMut::new();
+    let (mut whole, mut arrived) = (BytesMut::new(), 0);
     while let Some(piece) = pieces.next().await {
         let piece = piece.map_err(|error| library_error(&error))?;
-        if whole.len() + piece.len() > limit {
-            return Err(Error::new(
-                Kind::TooLarge,
-                format!("the body has more than {limit} bytes"),
-            ));
+        arrived += piece.len();
+        if arrived <= limit {
+            whole.extend_from_slice(&piece);
+        }
+        if arrived > limit + DISCARDED_BYTES {
+            break;
         }
-        whole.extend_from_slice(&piece);
+    }
+    if arrived > limit {
+        let message = format!("the body has more than {limit} bytes");
+        return Err(Error::new(Kind::TooLarge, message));
     }
     Ok(whole.freeze())
 }
