fix(batch): a node that lags catches up before it answers 'no file' or 'no job'

Cause: a file uploaded at one node could be unknown at another for as long as its copy of the jobs stream lagged, and the caller got a final 404. Behind a balancer that is an ordinary path.

Ruled out: acknowledging an upload only once all nodes have folded it, which makes callers wait for the slowest node.

Change: a look-up that finds nothing reads the head of the stream, waits until all before it has been folded, and looks again; while the log is down it answers 503 instead of 404.

--- a/bulrushspread/src/batch/api.rs
+++ b/bulrushspread/src/batch/api.rs
@@ -14,7 +14,7 @@
 };
 
 use super::{
-    files,
+    directory, files,
     jobs::{FileState, JobState},
     message::Message,
     owner::task as owner,
@@ -73,7 +73,7 @@
     let directory = &context.batch.owner.directory;
     directory.check()?;
     let window = parse_window(&create.completion_window)?;
-    let file = find_file(context, workspace, &File(create.input_file_id.clone()))?;
+    let file = find_file(context, workspace, &File(create.input_file_id.clone())).await?;
     check_file(&file, &create)?;
     let digest = digest(&file.created, &create);
     if let Some(earlier) = key.and_then(|key| by_key(context, workspace, key)) {
@@ -92,7 +92,7 @@
 
 /// The job as this node knows it, asking the lane's owner for counts where it can.
 pub async fn get(context: &Shared, workspace: &Workspace, job: &Job) -> Result<JobView> {
-    let state = find_job(context, workspace, job)?;
+    let state = find_job(context, workspace, job).await?;
     let counts = match &state.finished {
         Some(finished) => finished.counts,
         None => ask_counts(context, &state).await,
@@ -118,7 +118,7 @@
 
 /// Cancels a job. When this returns, no further item starts.
 pub async fn cancel(context: &Shared, workspace: &Workspace, job: &Job) -> Result<JobView> {
-    let state = find_job(context, workspace, job)?;
+    let state = find_job(context, workspace, job).await?;
     if state.finished.is_some() {
         return get(context, workspace, job).await;
     }
@@ -131,7 +131,7 @@
     }
     let until = context.clock.now() + CANCEL_TIMEOUT;
     while context.clock.now() < until {
-        if find_job(context, workspace, job)?.finished.is_some()
+        if find_job(context, workspace, job).await?.finished.is_some()
             || ask_cancelled(context, lane, job).await
         {
             return get(context, workspace, job).await;
@@ -144,23 +144,23 @@
 /// A file's description.
 pub async fn file(context: &Shared, workspace: &Workspace, file: &File) -> Result<FileView> {
     if let Some((job, part)) = parse_results(file) {
-        let state = find_job(context, workspace, &job)?;
+        let state = find_job(context, workspace, &job).await?;
         return results_view(file, &state, part);
     }
-    Ok(file_view(&find_file(context, workspace, file)?.created))
+    Ok(file_view(&find_file(context, workspace, file).await?.created))
 }
 
 /// A file's content: the uploaded lines, or one line a result.
 pub async fn content(context: &Shared, workspace: &Workspace, file: &File) -> Result<Pieces> {
     if let Some((job, part)) = parse_results(file) {
-        let state = find_job(context, workspace, &job)?;
+        let state = find_job(context, workspace, &job).await?;
         let lane = files::lane(context, &state.created.file);
         let Some(finished) = &state.finished else {
             return Err(Error::new(Kind::NotFound, "the job has not ended"));
         };
         return results::pieces(context, lane, finished, part).await;
     }
-    let created = find_file(context, workspace, file)?.created;
+    let created = find_file(context, workspace, file).await?.created;
     let index = files::index(context, &created.file).await?;
     let reader = (context.clone(), created.file, index, 0);
     let pieces = futures_util::stream::unfold(reader, |(context, file, index, next)| async move {
@@ -300,28 +300,36 @@
     context.batch.owner.directory.fold().by_key(workspace, key).cloned()
 }
 
-fn find_file(context: &Shared, workspace: &Workspace, file: &File) -> Result<FileState> {
-    let directory = &context.batch.owner.directory;
-    let state = directory.fold().file(file).cloned();
-    match state.filter(|state| state.created.workspace == *workspace) {
-        Some(state) => Ok(state),
-        None => {
-            directory.check()?;
-            Err(Error::new(Kind::NotFound, format!("no file {file}")))
-        }
-    }
+/// The file, which another node may have taken in a moment ago.
+async fn find_file(context: &Shared, workspace: &Workspace, file: &File) -> Result<FileState> {
+    let known = || {
+        let state = context.batch.owner.directory.fold().file(file).cloned();
+        state.filter(|state| state.created.workspace == *workspace)
+    };
+    find(context, known, || format!("no file {file}")).await
 }
 
-fn find_job(context: &Shared, workspace: &Workspace, job: &Job) -> Result<JobState> {
-    let directory = &context.batch.owner.directory;
-    let state = directory.fold().job(job).cloned();
-    match state.filter(|state| state.created.workspace == *workspace) {
-        Some(state) => Ok(state),
-        None => {
-            directory.check()?;
-            Err(Error::new(Kind::NotFound, format!("no job {job}")))
-        }
+/// The job, which another node may have taken in a moment ago.
+async fn find_job(context: &Shared, workspace: &Workspace, job: &Job) -> Result<JobState> {
+    let known = || {
+        let state = context.batch.owner.directory.fold().job(job).cloned();
+        state.filter(|state| state.created.workspace == *workspace)
+    };
+    find(context, known, || format!("no job {job}")).await
+}
+
+/// Looks up in the directory, and where nothing is found again once it has caught up.
+async fn find<T>(
+    context: &Shared,
+    known: impl Fn() -> Option<T>,
+    missing: impl Fn() -> String,
+) -> Result<T> {
+    if let Some(found) = known() {
+        return Ok(found);
     }
+    context.batch.owner.directory.check()?;
+    directory::catch_up(context).await?;
+    known().ok_or_else(|| Error::new(Kind::NotFound, missing()))
 }
 
 /// Asks the node that should own the lane.
--- a/bulrushspread/src/batch/directory.rs
+++ b/bulrushspread/src/batch/directory.rs
@@ -54,8 +54,12 @@
 
     /// Waits until the record at `position` has been folded.
     pub(crate) async fn wait_for(&self, position: Position) -> Result<()> {
+        self.wait_until(|folded| folded > position.offset).await
+    }
+
+    async fn wait_until(&self, reached: impl Fn(Offset) -> bool) -> Result<()> {
         let mut folded = self.folded.subscribe();
-        let reached = folded.wait_for(|folded| *folded > position.offset);
+        let reached = folded.wait_for(|folded| reached(*folded));
         match tokio::time::timeout(FOLD_TIMEOUT.duration(), reached).await {
             Ok(Ok(_)) => Ok(()),
             Ok(Err(_)) | Err(_) => {
@@ -73,6 +77,15 @@
     }
 }
 
+/// Waits until all records that stand in the stream now have been folded.
+pub(crate) async fn catch_up(context: &Shared) -> Result<()> {
+    let directory = &context.batch.owner.directory;
+    let folded = *directory.folded.borrow();
+    let stream = jobs_stream(&context.settings.environment);
+    let head = context.journal.head(&stream, folded).await?;
+    directory.wait_until(|folded| folded >= head).await
+}
+
 /// Follows the jobs stream for as long as the process runs.
 pub(crate) async fn follow(context: Shared) {
     let stream = jobs_stream(&context.settings.environment);
--- a/bulrushspread/src/journal/handle.rs
+++ b/bulrushspread/src/journal/handle.rs
@@ -89,6 +89,12 @@
             .map_err(|error| Error::new(Kind::Internal, format!("record at {offset}: {error}")))
     }
 
+    /// The offset that the next append will get; `from` is any offset that is still kept.
+    pub async fn head(&self, stream: &Stream, from: Offset) -> Result<Offset> {
+        let page = self.wired()?.store.read(stream, from, Millis(0)).await;
+        Ok(page.map_err(read_error)?.head)
+    }
+
     /// Connects the handle to the running journal.
     pub(crate) fn wire(&self, wired: Wired) {
         let _ = self.wired.set(wired);
