refactor(batch): outbox and claims apart from the owner's state; test: ledger

Ruled out: nothing else; behaviour is unchanged.

Change: `owner::outbox` and `owner::claim`; tests of order, limits, faults of files and of readers that start late; the runner takes the number of lanes from the settings.

Conclusion: no change for callers.

--- a/bulrushspread/src/batch/owner/mod.rs
+++ b/bulrushspread/src/batch/owner/mod.rs
@@ -1,9 +1,11 @@
 //! The owner of a lane: holds the ledger of the lane's jobs and hands items to runners.
 
 pub(crate) mod actor;
+mod claim;
 pub(crate) mod command;
 pub(crate) mod deed;
 pub mod handle;
+mod outbox;
 pub mod state;
 pub(crate) mod task;
 
--- a/bulrushspread/src/batch/owner/state.rs
+++ b/bulrushspread/src/batch/owner/state.rs
@@ -9,7 +9,7 @@
         lane::{self, Effect},
         ledger::{self, Ledger, Pick, Spec, Taken},
         message::{Outcome, Pull, Ticket},
-        record::{self, Final, Lane as Record},
+        record::{self, Lane as Record},
         view::Counts,
     },
     id::{Epoch, Incarnation, Item, Job, Lane, Vm},
@@ -17,8 +17,7 @@
     time::Millis,
 };
 
-/// Handover times after which a live owner that keeps the lane is deposed.
-const HANDOVERS: u64 = 6;
+use super::outbox::Outbox;
 
 /// What happened.
 #[derive(Clone, Debug)]
@@ -61,40 +60,35 @@
 /// What a node knows of one lane.
 #[derive(Clone, Debug)]
 pub struct State {
-    me: Writer,
-    lane: Lane,
-    settings: Settings,
-    fold: lane::Fold,
-    caught_up: bool,
+    pub(super) me: Writer,
+    pub(super) lane: Lane,
+    pub(super) settings: Settings,
+    pub(super) fold: lane::Fold,
+    pub(super) caught_up: bool,
     /// The unfinished jobs of the lane.
-    specs: BTreeMap<Job, Spec>,
+    pub(super) specs: BTreeMap<Job, Spec>,
     /// Only while the claim in force is this node's.
-    ledger: Option<Ledger>,
-    /// Results that have not been read back.
-    outbox: BTreeMap<Job, BTreeMap<Item, Final>>,
-    /// Outcomes whose `custom_id` has been asked for.
-    unnamed: BTreeMap<(Job, Item), record::Outcome>,
-    /// `custom_id` of items that run.
-    names: BTreeMap<(Job, Item), String>,
+    pub(super) ledger: Option<Ledger>,
+    pub(super) outbox: Outbox,
     /// Jobs whose end is being appended.
     finishing: BTreeSet<Job>,
     /// Jobs whose end could not be appended.
     refinish: BTreeSet<Job>,
-    chosen: Option<Vm>,
-    live: BTreeMap<Vm, Incarnation>,
+    pub(super) chosen: Option<Vm>,
+    pub(super) live: BTreeMap<Vm, Incarnation>,
     /// A claim or release is on its way.
-    appending: bool,
+    pub(super) appending: bool,
     /// Since when another node should own the lane.
-    unwanted_since: Option<Millis>,
+    pub(super) unwanted_since: Option<Millis>,
     /// Whether the owner of the claim in force is live, and since when this node waits for it.
-    waits: Option<(bool, Millis)>,
+    pub(super) waits: Option<(bool, Millis)>,
     /// At this time the claim in force was the last one for sure.
     checked_at: Millis,
     /// From here on no former owner hands out items.
     settled_at: Millis,
     /// The place of the last record taken in.
     folded: Option<Position>,
-    stopping: bool,
+    pub(super) stopping: bool,
 }
 
 impl State {
@@ -107,9 +101,7 @@
             caught_up: false,
             specs: BTreeMap::new(),
             ledger: None,
-            outbox: BTreeMap::new(),
-            unnamed: BTreeMap::new(),
-            names: BTreeMap::new(),
+            outbox: Outbox::default(),
             finishing: BTreeSet::new(),
             refinish: BTreeSet::new(),
             chosen: None,
@@ -143,7 +135,10 @@
             Event::Members { chosen, live } => self.members(now, chosen, live),
             Event::Opened(spec) => self.open_job(now, spec),
             Event::Closed(job) => self.close_job(&job),
-            Event::Named(job, item, name) => self.name(job, item, name),
+            Event::Named(job, item, name) => {
+                self.outbox.name(job, item, name);
+                Vec::new()
+            }
             Event::NotAppended => {
                 self.appending = false;
                 Vec::new()
@@ -247,30 +242,13 @@
 
     /// Whether the item still needs the log to take its result.
     pub fn is_pending(&self, job: &Job, item: Item) -> bool {
-        let waits = self.outbox.get(job).is_some_and(|results| results.contains_key(&item));
-        waits || self.unnamed.contains_key(&(job.clone(), item))
+        self.outbox.contains(job, item)
     }
 
     /// Results to append next, one record a job, up to about `limit_bytes`.
     pub fn batch(&self, limit_bytes: usize) -> Vec<Record> {
-        let Some(ledger) = &self.ledger else { return Vec::new() };
-        let mut bytes = 0;
-        let mut records = Vec::new();
-        for (job, waiting) in &self.outbox {
-            let mut results = Vec::new();
-            for result in waiting.values() {
-                bytes += result.outcome.bytes() + result.custom_id.len();
-                results.push(result.clone());
-                if bytes >= limit_bytes {
-                    break;
-                }
-            }
-            records.push(Record::Results { epoch: ledger.epoch(), job: job.clone(), results });
-            if bytes >= limit_bytes {
-                break;
-            }
-        }
-        records
+        let epoch = self.ledger.as_ref().map(Ledger::epoch);
+        epoch.map(|epoch| self.outbox.batch(epoch, limit_bytes)).unwrap_or_default()
     }
 
     /// The job's counts as the stream has them.
@@ -315,18 +293,7 @@
     }
 
     fn ended(&mut self, job: &Job, items: &[Item]) -> Vec<Action> {
-        if let Some(waiting) = self.outbox.get_mut(job) {
-            for item in items {
-                waiting.remove(item);
-            }
-            if waiting.is_empty() {
-                self.outbox.remove(job);
-            }
-        }
-        for item in items {
-            self.names.remove(&(job.clone(), *item));
-            self.unnamed.remove(&(job.clone(), *item));
-        }
+        self.outbox.remove(job, items);
         let Some(ledger) = &mut self.ledger else { return Vec::new() };
         let actions = ledger.ended(job, items);
         let mut actions = self.translate(actions);
@@ -335,7 +302,7 @@
     }
 
     fn cancel(&mut self, job: &Job) -> Vec<Action> {
-        self.drop_results(job);
+        self.outbox.drop_job(job);
         let Some(ledger) = &mut self.ledger else { return Vec::new() };
         let actions = ledger.remove(job);
         let mut actions = self.translate(actions);
@@ -372,93 +339,23 @@
     fn close_job(&mut self, job: &Job) -> Vec<Action> {
         self.specs.remove(job);
         self.finishing.remove(job);
-        self.drop_results(job);
+        self.outbox.drop_job(job);
         self.fold.forget(job);
         let Some(ledger) = &mut self.ledger else { return Vec::new() };
         let actions = ledger.remove(job);
         self.translate(actions)
     }
 
-    fn name(&mut self, job: Job, item: Item, custom_id: String) -> Vec<Action> {
-        match self.unnamed.remove(&(job.clone(), item)) {
-            Some(outcome) => {
-                let result = Final { item, custom_id, outcome };
-                self.outbox.entry(job).or_default().insert(item, result);
-            }
-            None => {
-                self.names.insert((job, item), custom_id);
-            }
-        }
-        Vec::new()
-    }
-
-    fn drop_results(&mut self, job: &Job) {
-        self.outbox.remove(job);
-        self.unnamed.retain(|(other, _), _| other != job);
-        self.names.retain(|(other, _), _| other != job);
-    }
-
-    /// Claims the lane, takes it up or gives it up, as the claim in force and the members say.
-    fn own(&mut self, now: Millis) -> Vec<Action> {
-        if !self.caught_up {
-            return Vec::new();
-        }
-        match self.fold.claim.clone() {
-            Some(claim) if claim.owner == self.me && !claim.released => self.hold(now, claim.epoch),
-            Some(claim) if !claim.released && !self.may_depose(now, &claim.owner) => Vec::new(),
-            _ => self.claim(),
-        }
-    }
-
-    fn claim(&mut self) -> Vec<Action> {
-        if self.appending || self.stopping || self.chosen.as_ref() != Some(&self.me.vm) {
-            return Vec::new();
-        }
-        self.appending = true;
-        let (epoch, owner) = (self.fold.next_epoch(), self.me.clone());
-        vec![Action::Append(Record::Claim { epoch, owner })]
-    }
-
-    fn hold(&mut self, now: Millis, epoch: Epoch) -> Vec<Action> {
-        if self.ledger.is_none() {
-            return self.take_up(now, epoch);
-        }
-        let wanted = self.chosen.as_ref() == Some(&self.me.vm) && !self.stopping;
-        if wanted {
-            self.unwanted_since = None;
-            return Vec::new();
-        }
-        let since = *self.unwanted_since.get_or_insert(now);
-        let patience = if self.stopping { 0 } else { self.settings.handover_ms };
-        let waits = self.appending || !self.outbox.is_empty() || !self.unnamed.is_empty();
-        if waits || now < since + Millis(patience) {
-            return Vec::new();
-        }
-        self.appending = true;
-        vec![Action::Append(Record::Release { epoch })]
-    }
-
-    fn take_up(&mut self, now: Millis, epoch: Epoch) -> Vec<Action> {
-        self.ledger = Some(Ledger::new(now, self.lane, epoch, self.settings.clone()));
-        let jobs: Vec<Job> = self.specs.keys().cloned().collect();
-        for job in &jobs {
-            self.track(now, job);
-        }
-        jobs.iter().filter_map(|job| self.finish(job)).collect()
-    }
-
     /// Forgets what only the owner may act on.
     fn lose(&mut self) {
         self.ledger = None;
-        self.outbox.clear();
-        self.unnamed.clear();
-        self.names.clear();
+        self.outbox = Outbox::default();
         self.finishing.clear();
         self.unwanted_since = None;
         self.waits = None;
     }
 
-    fn track(&mut self, now: Millis, job: &Job) {
+    pub(super) fn track(&mut self, now: Millis, job: &Job) {
         let Some(ledger) = &mut self.ledger else { return };
         let Some(spec) = self.specs.get(job) else { return };
         let progress = self.fold.jobs.get(job);
@@ -470,7 +367,7 @@
         ledger.add(now, spec.clone(), ended, intended);
     }
 
-    fn finish(&mut self, job: &Job) -> Option<Action> {
+    pub(super) fn finish(&mut self, job: &Job) -> Option<Action> {
         let epoch = self.ledger.as_ref()?.epoch();
         let total = self.specs.get(job)?.total;
         let progress = self.fold.jobs.get(job)?;
@@ -490,31 +387,9 @@
         match action {
             ledger::Action::Stop { runner, ticket } => Some(Action::Stop { runner, ticket }),
             ledger::Action::Journal { job, item, outcome } => {
-                match self.names.remove(&(job.clone(), item)) {
-                    Some(custom_id) => {
-                        let result = Final { item, custom_id, outcome };
-                        self.outbox.entry(job).or_default().insert(item, result);
-                        None
-                    }
-                    None => {
-                        self.unnamed.insert((job.clone(), item), outcome);
-                        Some(Action::Name { job, item })
-                    }
-                }
+                let named = self.outbox.add(&job, item, outcome);
+                (!named).then_some(Action::Name { job, item })
             }
         }
     }
-
-    /// Whether the owner has been gone for some time, or has not handed over for much longer.
-    fn may_depose(&mut self, now: Millis, owner: &Writer) -> bool {
-        let live = self.live.get(&owner.vm) == Some(&owner.incarnation);
-        let patience = match live {
-            true => self.settings.handover_ms * HANDOVERS,
-            false => self.settings.takeover_ms,
-        };
-        let wanted = self.chosen.as_ref() == Some(&self.me.vm);
-        let waits = self.waits.filter(|(other, _)| wanted && *other == live);
-        let (_, since) = *self.waits.insert(waits.unwrap_or((live, now)));
-        wanted && now >= since + Millis(patience)
-    }
 }
--- a/bulrushspread/src/batch/runner/supply.rs
+++ b/bulrushspread/src/batch/runner/supply.rs
@@ -15,8 +15,6 @@
 
 use super::{message::Event, task};
 
-/// Lanes of the batch jobs.
-const LANES: u16 = 16;
 /// Owners that granted nothing lately which one pull asks.
 const COLD_OWNERS: usize = 4;
 /// Time for which an owner that granted items is asked first.
@@ -143,7 +141,7 @@
     let vms: Vec<&Vm> =
         view.nodes.iter().filter(|(_, node)| !node.leaving).map(|(vm, _)| vm).collect();
     let mut owners: BTreeMap<&Vm, Vec<Lane>> = BTreeMap::new();
-    for lane in (0..LANES).map(Lane) {
+    for lane in (0..context.settings.batch.lanes).map(Lane) {
         if let Some(vm) = rendezvous::choose(&format!("lane-{lane}"), vms.iter().copied()) {
             owners.entry(vm).or_default().push(lane);
         }
--- /dev/null
+++ b/bulrushspread/tests/batch_ledger.rs
@@ -0,0 +1,273 @@
+//! The ledger's order and limits, and the fold of the jobs stream.
+
+use std::collections::BTreeMap;
+
+use bulrushspread::{
+    batch::{
+        Settings,
+        items::Items,
+        jobs::{Effect, Fold},
+        ledger::{Action, Ledger, Pick, Spec, queue::Pool},
+        message::{End, Outcome, Room},
+        record::{FileCreated, JobCreated, Jobs, Outcome as Record, decode, encode},
+        upload::Cutter,
+    },
+    id::{Deployment, Epoch, File, Item, Job, Lane, Model, Offset, Vm, Workspace},
+    journal::record::Position,
+    time::Millis,
+};
+use proptest::{prelude::*, test_runner::RngSeed};
+
+fn settings() -> Settings {
+    Settings { adopt_ms: 0, ..Settings::default() }
+}
+
+fn ledger() -> Ledger {
+    Ledger::new(Millis(0), Lane(0), Epoch(1), settings())
+}
+
+fn add(ledger: &mut Ledger, job: &str, workspace: &str, due_at: u64, total: u32) {
+    let spec = Spec {
+        job: Job::from(job),
+        workspace: Workspace::from(workspace),
+        weight: 1,
+        pool: Pool::Model(Model::from("m")),
+        due_at: Millis(due_at),
+        total,
+        idempotent: true,
+    };
+    ledger.add(Millis(0), spec, Items::default(), Items::default());
+}
+
+fn grant(ledger: &mut Ledger, now: u64, items: u32) -> Vec<Pick> {
+    let room =
+        Room { deployment: Deployment::from("lm-pool"), models: vec![Model::from("m")], items };
+    ledger.grant(Millis(now), &Vm::from("runner"), &[room])
+}
+
+fn report(ledger: &mut Ledger, now: u64, pick: &Pick, end: End) -> Vec<Action> {
+    let outcome = Outcome { ticket: pick.ticket.clone(), end };
+    ledger.outcome(Millis(now), &outcome).1
+}
+
+fn jobs_of(picks: &[Pick]) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for pick in picks {
+        *counts.entry(pick.ticket.job.to_string()).or_default() += 1;
+    }
+    counts
+}
+
+#[test]
+fn grants_the_earliest_deadline_of_a_workspace_first() {
+    let mut ledger = ledger();
+    add(&mut ledger, "late", "w", 200, 10);
+    add(&mut ledger, "early", "w", 100, 4);
+    let picks = grant(&mut ledger, 1, 6);
+    assert_eq!(jobs_of(&picks), BTreeMap::from([("early".into(), 4), ("late".into(), 2)]));
+}
+
+#[test]
+fn shares_items_evenly_between_workspaces() {
+    let mut ledger = ledger();
+    add(&mut ledger, "early", "greedy", 1, 10_000);
+    add(&mut ledger, "late", "modest", 9_999, 10_000);
+    let picks = grant(&mut ledger, 1, 320);
+    assert_eq!(jobs_of(&picks), BTreeMap::from([("early".into(), 160), ("late".into(), 160)]));
+}
+
+#[test]
+fn item_that_fails_every_run_ends_and_others_go_on() {
+    let mut ledger = ledger();
+    add(&mut ledger, "job", "w", 1, 50);
+    let mut now = 1;
+    let mut ended = None;
+    let mut others = 0;
+    while ended.is_none() {
+        for pick in grant(&mut ledger, now, 1) {
+            if pick.ticket.item != Item(0) {
+                others += 1;
+                continue;
+            }
+            let reason = "no answer".to_string();
+            ended = report(&mut ledger, now, &pick, End::Failed { reason }).pop();
+        }
+        now += 500;
+        assert!(ledger.tick(Millis(now)).is_empty());
+    }
+    let Some(Action::Journal { item: Item(0), outcome: Record::Failed { code, .. }, .. }) = ended
+    else {
+        panic!("{ended:?} is no terminal failure");
+    };
+    assert_eq!(code, "attempts_exhausted");
+    assert!(others >= 1, "others were granted between the attempts");
+}
+
+#[test]
+fn item_that_crashes_upstreams_ends_after_the_limit() {
+    let mut ledger = ledger();
+    add(&mut ledger, "job", "w", 1, 1);
+    let mut crashes = 0;
+    for now in (1..20_000).step_by(1_000) {
+        ledger.tick(Millis(now));
+        for pick in grant(&mut ledger, now, 1) {
+            crashes += 1;
+            report(&mut ledger, now, &pick, End::Crashed { reason: "died".to_string() });
+        }
+    }
+    assert_eq!(crashes, settings().crash_limit);
+}
+
+#[test]
+fn run_that_never_ends_is_stopped_and_counts_as_failed() {
+    let mut ledger = ledger();
+    add(&mut ledger, "job", "w", 1, 1);
+    let timeout = settings().run_timeout_ms;
+    let mut stops = 0;
+    let mut now = 1;
+    for _ in 0..10 {
+        stops += grant(&mut ledger, now, 1).len();
+        now += timeout;
+        let actions = ledger.tick(Millis(now));
+        assert!(actions.iter().any(|action| matches!(action, Action::Stop { .. })) || stops == 3);
+        now += 60_000;
+        ledger.tick(Millis(now));
+    }
+    assert_eq!(stops, settings().attempt_limit as usize);
+}
+
+#[test]
+fn grants_nothing_while_results_wait_for_the_log() {
+    let mut ledger =
+        Ledger::new(Millis(0), Lane(0), Epoch(1), Settings { outcome_bytes: 10, ..settings() });
+    add(&mut ledger, "job", "w", 1, 5);
+    let picks = grant(&mut ledger, 1, 1);
+    report(&mut ledger, 1, &picks[0], End::Answered { status: 200, body: "x".repeat(10) });
+    assert_eq!(grant(&mut ledger, 2, 1), []);
+    ledger.ended(&Job::from("job"), &[picks[0].ticket.item]);
+    assert_eq!(grant(&mut ledger, 3, 1).len(), 1);
+}
+
+#[test]
+fn names_the_first_fault_of_a_file() {
+    let line = |id: &str, model: &str| {
+        format!("{{\"custom_id\":\"{id}\",\"url\":\"/v1/x\",\"body\":{{\"model\":\"{model}\"}}}}\n")
+    };
+    let fault = |text: String| {
+        let mut cutter = Cutter::new(Settings { items_per_job: 3, ..Settings::default() });
+        for piece in text.as_bytes().chunks(7) {
+            cutter.push(piece);
+        }
+        cutter.finish().1.fault.unwrap_or_default()
+    };
+    assert_eq!(fault(line("a", "m") + &line("b", "m")), "");
+    assert_eq!(fault(String::new()), "the file has no items");
+    assert!(fault(line("a", "m") + "{}\n").starts_with("line 2: not a valid item"));
+    assert_eq!(fault(line("a", "m") + &line("a", "m")), "line 2: custom_id \"a\" stands twice");
+    assert!(fault(line("a", "m") + &line("b", "n")).starts_with("line 2: model differs"));
+    assert_eq!(
+        fault(["a", "b", "c", "d"].map(|id| line(id, "m")).concat()),
+        "the file has more than 3 items"
+    );
+}
+
+fn file(name: &str, workspace: &str) -> Jobs {
+    Jobs::FileCreated(FileCreated {
+        file: File::from(name),
+        workspace: Workspace::from(workspace),
+        filename: String::new(),
+        bytes: 1,
+        items: 1,
+        created_at: Millis(0),
+        digest: String::new(),
+        fault: None,
+        url: None,
+        model: None,
+        index: Position::default(),
+    })
+}
+
+fn job(name: &str, workspace: &str, key: Option<&str>) -> Jobs {
+    Jobs::JobCreated(JobCreated {
+        job: Job::from(name),
+        workspace: Workspace::from(workspace),
+        key: key.map(str::to_string),
+        digest: String::new(),
+        file: File(format!("file-of-{workspace}")),
+        items: 1,
+        endpoint: String::new(),
+        model: None,
+        completion_window: String::new(),
+        idempotent: true,
+        metadata: BTreeMap::new(),
+        created_at: Millis(0),
+        due_at: Millis(0),
+    })
+}
+
+fn at(offset: usize) -> Position {
+    Position { offset: Offset(offset as u64), index: 0 }
+}
+
+#[test]
+fn other_workspaces_files_make_no_job() {
+    let mut fold = Fold::default();
+    fold.apply(at(0), &file("file-of-b", "a"));
+    assert_eq!(fold.apply(at(1), &job("x", "b", None)), Effect::Void);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 256,
+        rng_seed: RngSeed::Fixed(29),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Creates of few keys in any order, each carried later; a reader that starts anywhere
+    /// before the first copy ends with the same jobs as one that read all.
+    #[test]
+    fn first_job_of_a_key_stands_for_every_reader(
+        creates in prop::collection::vec((0..3usize, 0..2usize), 1..12),
+        skipped in 0..12usize,
+    ) {
+        let mut stream = vec![file("file-of-a", "a"), file("file-of-b", "b")];
+        for (number, (key, workspace)) in creates.iter().enumerate() {
+            let (key, workspace) = (format!("key-{key}"), ["a", "b"][*workspace]);
+            stream.push(job(&format!("job-{number}"), workspace, Some(&key)));
+        }
+        let mut whole = Fold::default();
+        for (place, record) in stream.iter().enumerate() {
+            whole.apply(at(place), record);
+        }
+        let winners: Vec<(Position, JobCreated)> = whole
+            .jobs()
+            .map(|job| (job.position, JobCreated::clone(&job.created)))
+            .collect();
+        for (place, record) in stream.clone().into_iter().take(2).enumerate() {
+            stream.push(Jobs::Carried { position: at(place), record: Box::new(record) });
+        }
+        for (position, created) in winners {
+            let record = Box::new(Jobs::JobCreated(created));
+            stream.push(Jobs::Carried { position, record });
+        }
+        let mut late = Fold::default();
+        for (place, record) in stream.iter().enumerate().skip(skipped.min(creates.len() + 2)) {
+            let record: Jobs = decode(&encode(record).unwrap()).unwrap();
+            late.apply(at(place), &record);
+        }
+        let jobs = |fold: &Fold| -> Vec<(Position, Job)> {
+            fold.jobs().map(|job| (job.position, job.created.job.clone())).collect()
+        };
+        prop_assert_eq!(jobs(&late), jobs(&whole));
+        for workspace in ["a", "b"].map(Workspace::from) {
+            for key in ["key-0", "key-1", "key-2"] {
+                let first = creates.iter().enumerate().find(|(_, (number, place))| {
+                    format!("key-{number}") == key && ["a", "b"][*place] == workspace.0
+                });
+                let holder = late.by_key(&workspace, key).map(|job| job.created.job.to_string());
+                prop_assert_eq!(holder, first.map(|(number, _)| format!("job-{number}")));
+            }
+        }
+    }
+}
