--- a/bulrushspread/src/attempt/call.rs
+++ b/bulrushspread/src/attempt/call.rs
@@ -4,6 +4,7 @@
 use uuid::Uuid;
 
 use crate::{
+    admit::state::Ask,
     error::{Error, Kind, Result},
     gateway::directory::Caller,
     id::Workspace,
@@ -35,6 +36,13 @@
         Error::new(Kind::NotFound, format!("there is no service {}", call.service))
     })?;
     call.deadline = call.deadline.min(context.clock.now() + Millis(spec.timeout_ms));
+    let ask = Ask {
+        workspace: caller.workspace.clone(),
+        serves: call.service.to_string(),
+        tokens: 0,
+        deadline: call.deadline,
+    };
+    let permit = context.admit.enter(context, ask, &caller.spec).await?;
     let method = call.method.as_str();
     if spec.idempotent_methods.iter().any(|known| known.eq_ignore_ascii_case(method)) {
         return run(context.clone(), call, Repeat::Idempotent).await;
@@ -46,7 +54,7 @@
             Some(key) => keyed(&context, Key { workspace: caller.workspace, key }, call).await,
             None => run(context, call, Repeat::AtMostOnce).await,
         };
-        drop(detached);
+        drop((permit, detached));
         answer
     });
     task.await.unwrap_or_else(|error| Err(Error::new(Kind::Internal, error.to_string())))
--- a/bulrushspread/src/attempt/handle.rs
+++ b/bulrushspread/src/attempt/handle.rs
@@ -5,6 +5,7 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::{
+    admit::state::Ask,
     error::{Error, Kind, Result},
     gateway::directory::Caller,
     node::Shared,
@@ -56,16 +57,28 @@
         }
         let serves: Vec<String> =
             targets.iter().map(|target| target.deployment.to_string()).collect();
-        let _ = caller;
+        let ask = Ask {
+            workspace: caller.workspace,
+            serves: serves[0].clone(),
+            tokens: generation.prompt_tokens + generation.max_tokens,
+            deadline: generation.deadline,
+        };
+        let mut permit = context.admit.enter(context, ask, &caller.spec).await?;
+        permit.tokens = generation.prompt_tokens;
         let request = Request::new(generation.fingerprint, Repeat::Idempotent, generation.deadline);
         let (out, mut progress) = mpsc::channel(EVENTS_BUFFERED);
         let drive = Drive::new(context, Work::Generate(generation), request, serves, out);
         tokio::spawn(drive.run());
         let (events, receiver) = mpsc::channel(1);
         tokio::spawn(async move {
+            // Holds its place until the last event has been handed over.
+            let mut permit = permit;
             while let Some(item) = progress.recv().await {
                 let event = match item {
-                    Ok(Progress::Event(event)) => Ok(event),
+                    Ok(Progress::Event(event)) => {
+                        permit.tokens += 1;
+                        Ok(event)
+                    }
                     Ok(Progress::Answer(_)) => continue,
                     Err(error) => Err(error),
                 };
--- a/bulrushspread/src/attempt/request.rs
+++ b/bulrushspread/src/attempt/request.rs
@@ -19,6 +19,7 @@
     pub(crate) fingerprint: Fingerprint,
     pub(crate) model: Model,
     pub(crate) prompt: String,
+    pub(crate) prompt_tokens: u32,
     pub(crate) max_tokens: u32,
     pub(crate) deadline: Millis,
     /// The span that the request belongs to.
--- a/bulrushspread/src/gateway/completions.rs
+++ b/bulrushspread/src/gateway/completions.rs
@@ -76,6 +76,7 @@
         fingerprint: Fingerprint::of(&caller.workspace, &bytes),
         model: asked.model.as_str().into(),
         prompt,
+        prompt_tokens,
         max_tokens: asked.max_tokens(),
         deadline,
         trace: trace.clone(),
--- a/bulrushspread/src/gateway/directory.rs
+++ b/bulrushspread/src/gateway/directory.rs
@@ -6,7 +6,10 @@
 };
 
 use crate::{
-    config::{Handle, InForce, document::ServiceSpec},
+    config::{
+        Handle, InForce,
+        document::{ServiceSpec, WorkspaceSpec},
+    },
     id::{Deployment, Model, Offset, Service, Workspace},
 };
 
@@ -19,15 +22,17 @@
     offset: Offset,
     /// By the digest of a caller's key.
     keys: BTreeMap<String, Caller>,
+    workspaces: BTreeMap<Workspace, Arc<WorkspaceSpec>>,
     deployments: BTreeSet<Deployment>,
     models: BTreeMap<Model, Vec<Target>>,
     services: BTreeMap<Service, Arc<ServiceSpec>>,
 }
 
-/// A caller's workspace.
+/// A caller's workspace and its limits.
 #[derive(Clone, Debug)]
 pub(crate) struct Caller {
     pub(crate) workspace: Workspace,
+    pub(crate) spec: Arc<WorkspaceSpec>,
 }
 
 /// A deployment that serves a model.
@@ -42,7 +47,9 @@
         let mut directory = Directory { offset: current.offset, ..Directory::default() };
         for piece in current.document.pieces.values() {
             for (workspace, spec) in &piece.workspaces {
-                let caller = Caller { workspace: workspace.clone() };
+                let spec = Arc::new(spec.clone());
+                directory.workspaces.insert(workspace.clone(), spec.clone());
+                let caller = Caller { workspace: workspace.clone(), spec: spec.clone() };
                 for digest in &spec.key_digests {
                     directory.keys.insert(digest.clone(), caller.clone());
                 }
@@ -75,6 +82,11 @@
         self.models.get(&Model::from(base)).map_or(&[], Vec::as_slice)
     }
 
+    /// The limits of a workspace.
+    pub(crate) fn workspace(&self, workspace: &Workspace) -> Option<&WorkspaceSpec> {
+        self.workspaces.get(workspace).map(Arc::as_ref)
+    }
+
     /// Whether there is a deployment of this name.
     pub(crate) fn has_deployment(&self, name: &str) -> bool {
         self.deployments.contains(&Deployment::from(name))
--- a/bulrushspread/src/node.rs
+++ b/bulrushspread/src/node.rs
@@ -113,7 +113,7 @@
         vms: Arc::new(vms::http::Http::new(settings.platform.vm_list)),
         upstreams: Arc::new(upstream::http::Http::default()),
         peer: Arc::new(peer),
-        admit: admit::Handle::default(),
+        admit: admit::Handle::new(settings.admit.clone()),
         attempt: attempt::Handle::new(settings.attempt.clone(), incarnation.0),
         batch: batch::Handle::default(),
         config: config::Handle::default(),
--- a/bulrushspread/src/route/group.rs
+++ b/bulrushspread/src/route/group.rs
@@ -20,6 +20,8 @@
     pub(super) open: BTreeMap<Option<String>, Vec<Upstream>>,
     /// Requests of this node in flight over all replicas.
     pub(super) own: u32,
+    /// Slots of the replicas that are not leaving.
+    pub(super) slots: u32,
     /// Sum of `others` over the replicas.
     pub(super) others: f64,
     latency: Option<f64>,
--- a/bulrushspread/src/route/replica.rs
+++ b/bulrushspread/src/route/replica.rs
@@ -112,6 +112,11 @@
         self.latency = Some(mean + LATENCY_WEIGHT * (sample - mean));
     }
 
+    /// Slots that are open to new requests.
+    pub(super) fn offered(&self) -> u32 {
+        if self.leaving { 0 } else { self.slots }
+    }
+
     /// Whether the replica may get another request.
     pub(super) fn takes(&self) -> bool {
         match self.health.standing {
--- a/bulrushspread/src/route/state.rs
+++ b/bulrushspread/src/route/state.rs
@@ -126,7 +126,7 @@
     pub fn report(&mut self, now: Millis, loads: &[Load]) {
         for load in loads {
             let Some(replica) = self.replicas.get_mut(&load.upstream) else { continue };
-            let others = replica.others;
+            let (others, offered) = (replica.others, replica.offered());
             if !replica.report(now, load) {
                 continue;
             }
@@ -137,6 +137,7 @@
                 replica.leaving |= load.leaving;
                 group.open.clear();
             }
+            group.slots = group.slots + replica.offered() - offered;
         }
     }
 
@@ -208,9 +209,7 @@
 
     /// Slots of all replicas of a name that take requests.
     pub fn slots(&self, serves: &str) -> u32 {
-        let Some(group) = self.groups.get(serves) else { return 0 };
-        let replicas = group.order.iter().filter_map(|upstream| self.replicas.get(upstream));
-        replicas.filter(|replica| !replica.leaving).map(|replica| replica.slots).sum()
+        self.groups.get(serves).map_or(0, |group| group.slots)
     }
 
     /// Requests of this node in flight at a replica.
@@ -261,6 +260,7 @@
             group.open.clear();
             let replicas = || group.order.iter().filter_map(|member| self.replicas.get(member));
             group.others = replicas().map(|replica| replica.others).sum();
+            group.slots = replicas().map(Replica::offered).sum();
             group.own = replicas().map(|replica| replica.own).sum();
         }
         self.ejected.retain(|(_, upstream)| self.replicas.contains_key(upstream));
