--- a/bulrushspread/src/admit/share.rs
+++ b/bulrushspread/src/admit/share.rs
@@ -14,7 +14,7 @@
 use super::message::Amount;
 
 /// Share of the even part of a limit that every node has without asking.
-pub const BASE_SHARE: f32 = 0.5;
+pub const BASE_SHARE: f32 = 0.1;
 
 /// The demands that nodes have told this one.
 #[derive(Clone, Debug, Default)]
