fix(batch): batch streams are no load to the online router

Cause: engines report batch streams like online ones. After batch work had left a replica the lagging report still showed it full, so the router avoided the front and spread online requests over replicas with batch work. Change: the reporter of a replica, which is also its batch runner, takes off the batch streams that a recent report may count. Owners of lanes come from the owner slice and are worked out once per view. A runner allows 16 streams (was 8) within the engine's slots. Ruled out: leaving the lag to the report's age weight; it forgets after 1.5 s, longer than half of the bursts.

--- a/bulrushspread/src/batch/runner/fleet.rs
+++ b/bulrushspread/src/batch/runner/fleet.rs
@@ -1,16 +1,27 @@
-//! Who runs batch work on which replica, worked out anew when the fleet changes.
+//! Who runs batch work on which replica and who owns which lane, worked out anew when the fleet
+//! changes.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use crate::{
+    batch::owner,
     config::Document,
-    id::{Deployment, Model, Service, Upstream, Vm},
+    id::{Deployment, Lane, Model, Service, Upstream, Vm},
     membership::{View, view::Replica},
     rendezvous,
+    settings::Settings,
 };
 
 use super::message::{Spec, Target};
 
+/// A lane owner and its lanes.
+#[derive(Clone, Debug)]
+pub(crate) struct Owner {
+    pub(crate) vm: Vm,
+    pub(crate) address: SocketAddr,
+    pub(crate) lanes: Vec<Lane>,
+}
+
 /// The runners of all replicas, and the replicas of this node.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Fleet {
@@ -21,11 +32,14 @@
     pub(crate) own: BTreeMap<Upstream, Spec>,
     /// Where each replica of this node listens.
     pub(crate) addresses: BTreeMap<Upstream, SocketAddr>,
+    /// The owners of all lanes.
+    pub(crate) owners: Arc<[Owner]>,
 }
 
 impl Fleet {
-    pub(crate) fn new(me: &Vm, view: &View, document: &Document, margin: usize) -> Fleet {
-        let mut fleet = Fleet::default();
+    pub(crate) fn new(settings: &Settings, view: &View, document: &Document) -> Fleet {
+        let (me, margin) = (&settings.vm, settings.batch.runner.margin as usize);
+        let mut fleet = Fleet { owners: owners(view, settings.batch.lanes), ..Fleet::default() };
         let vms: Vec<&Vm> =
             view.nodes.iter().filter(|(_, node)| !node.leaving).map(|(vm, _)| vm).collect();
         for upstream in view.upstreams.keys() {
@@ -49,6 +63,19 @@
     }
 }
 
+/// The owner of each lane, as every node with the same view sees it.
+fn owners(view: &View, lanes: u16) -> Arc<[Owner]> {
+    let mut owners: BTreeMap<Vm, Vec<Lane>> = BTreeMap::new();
+    for lane in (0..lanes).map(Lane) {
+        if let Some(vm) = owner::task::choose(view, lane) {
+            owners.entry(vm).or_default().push(lane);
+        }
+    }
+    let owner =
+        |(vm, lanes): (Vm, Vec<Lane>)| Owner { address: view.nodes[&vm].address, vm, lanes };
+    owners.into_iter().map(owner).collect()
+}
+
 /// The replicas after `upstream` in the order that online work fills.
 fn next(view: &View, upstream: &Upstream, replica: &Replica, margin: usize) -> Vec<Upstream> {
     let peers = view
--- a/bulrushspread/src/batch/runner/handle.rs
+++ b/bulrushspread/src/batch/runner/handle.rs
@@ -59,4 +59,11 @@
     pub fn finished(&self, context: &Shared, upstream: &Upstream, in_flight: u32) {
         task::count_online(context, upstream, in_flight);
     }
+
+    /// Batch streams of this node that a recent load report of `upstream` may count. They give way
+    /// to online work, so they are no load to it.
+    pub fn reported_streams(&self, context: &Shared, upstream: &Upstream) -> u32 {
+        let now = context.clock.now();
+        self.edge.state.lock().unwrap().reported_streams(now, upstream)
+    }
 }
--- a/bulrushspread/src/batch/runner/replica.rs
+++ b/bulrushspread/src/batch/runner/replica.rs
@@ -13,6 +13,8 @@
 const ONLINE_TTL: Millis = Millis(8_000);
 /// Time for which an engine's own count stands in the way of batch work.
 const CROWDED_TTL: Millis = Millis(1_000);
+/// Time for which a load report may still count batch streams that have ended.
+const REPORT_LAG: Millis = Millis(500);
 /// Time within which one warning of the next replicas is enough.
 const WARN_INTERVAL: Millis = Millis(100);
 /// Time without online work after which the hold shrinks by half.
@@ -38,6 +40,8 @@
     hold: Millis,
     /// When the engine last ran more than its slots.
     crowded: Option<Millis>,
+    /// The most streams at once of late, and when there were as many.
+    peak: (u32, Millis),
     /// The upstream died; it gets one item to show that it is back.
     probing: bool,
     /// No start before this time.
@@ -74,6 +78,7 @@
             warned: None,
             hold: Millis(settings.hold_ms),
             crowded: None,
+            peak: (0, Millis(0)),
             probing: false,
             resting_until: Millis(0),
         }
@@ -93,6 +98,9 @@
         self.adapt_hold(now, settings);
         self.reached = Some(now);
         let clear = !self.running.is_empty();
+        if clear {
+            self.peak = (self.streams(), now);
+        }
         if clear && self.waiting.is_none() {
             self.waiting = Some(now);
         }
@@ -106,6 +114,9 @@
     /// Online work is near: batch work goes before it arrives.
     pub fn near(&mut self, now: Millis) {
         self.reached = Some(now);
+        if !self.running.is_empty() {
+            self.peak = (self.streams(), now);
+        }
     }
 
     /// Takes in the engine's own count.
@@ -129,11 +140,30 @@
 
     /// Room for starts now.
     pub fn room(&self, now: Millis, settings: &Settings) -> u32 {
-        let used = (self.running.len() + self.vacating.len()) as u32;
-        let free = self.allowed(now, settings).saturating_sub(used);
+        let free = self.allowed(now, settings).saturating_sub(self.streams());
         free.min(settings.prefills.saturating_sub(self.prefills.len() as u32))
     }
 
+    /// Counts a new start.
+    pub fn started(&mut self, now: Millis, start: Start) {
+        self.running.insert(start.clone());
+        self.prefills.insert(start);
+        let streams = self.streams();
+        if streams >= self.peak.0 || now - self.peak.1 >= REPORT_LAG {
+            self.peak = (streams, now);
+        }
+    }
+
+    /// Batch streams that a recent load report of the engine may count.
+    pub fn reported_streams(&self, now: Millis) -> u32 {
+        let (peak, at) = self.peak;
+        if now - at < REPORT_LAG { peak.max(self.streams()) } else { self.streams() }
+    }
+
+    fn streams(&self) -> u32 {
+        (self.running.len() + self.vacating.len()) as u32
+    }
+
     /// Takes a start out. Returns the time since online work arrived, if this was the last to go.
     pub fn vacated(&mut self, now: Millis, start: &Start) -> Option<Millis> {
         self.vacating.remove(start);
--- a/bulrushspread/src/batch/runner/schedule.rs
+++ b/bulrushspread/src/batch/runner/schedule.rs
@@ -133,8 +133,7 @@
         run.starts += 1;
         run.phase = Phase::Running { upstream: upstream.clone(), since: now };
         let start = run.start();
-        replica.running.insert(start.clone());
-        replica.prefills.insert(start.clone());
+        replica.started(now, start.clone());
         actions.push(Action::Start {
             start,
             upstream,
--- a/bulrushspread/src/batch/runner/settings.rs
+++ b/bulrushspread/src/batch/runner/settings.rs
@@ -43,7 +43,7 @@
     fn default() -> Settings {
         Settings {
             policy: Policy::Managed,
-            streams: 8,
+            streams: 16,
             prefills: 2,
             margin: 2,
             hold_ms: 500,
--- a/bulrushspread/src/batch/runner/state.rs
+++ b/bulrushspread/src/batch/runner/state.rs
@@ -61,6 +61,14 @@
         self.replicas.get(upstream).map_or(0, count)
     }
 
+    /// Batch streams that a recent load report of the engine may count and that give way.
+    pub fn reported_streams(&self, now: Millis, upstream: &Upstream) -> u32 {
+        if self.settings.policy == Policy::Unmanaged {
+            return 0;
+        }
+        self.replicas.get(upstream).map_or(0, |replica| replica.reported_streams(now))
+    }
+
     /// Streams that run at the replica and are not being cancelled.
     pub fn uncancelled(&self, upstream: &Upstream) -> usize {
         self.replicas.get(upstream).map_or(0, |replica| replica.running.len())
--- a/bulrushspread/src/batch/runner/supply.rs
+++ b/bulrushspread/src/batch/runner/supply.rs
@@ -1,22 +1,23 @@
 //! Asks the owners of lanes for items and tells them how items ended.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::atomic::Ordering};
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, atomic::Ordering},
+};
 
 use crate::{
     batch::{
         message::{Grant, Message, Outcome, Outcomes, Pull, Room, Ticket, Work},
         owner,
     },
-    id::{Lane, Vm},
+    id::Lane,
     node::Shared,
-    peer, rendezvous,
+    peer,
     time::Millis,
 };
 
-use super::{message::Event, task};
+use super::{fleet::Owner, message::Event, schedule, task};
 
-/// Lanes of the batch jobs.
-const LANES: u16 = 16;
 /// Owners that granted nothing lately which one pull asks.
 const COLD_OWNERS: usize = 4;
 /// Time for which an owner that granted items is asked first.
@@ -24,14 +25,6 @@
 /// Time that an owner may take to grant items.
 const PULL_TIMEOUT: Millis = Millis(500);
 
-/// A lane owner and its lanes.
-#[derive(Clone, Debug)]
-struct Owner {
-    vm: Vm,
-    address: SocketAddr,
-    lanes: Vec<Lane>,
-}
-
 /// Asks owners, one after the other, until the room is filled.
 pub(crate) async fn pull(context: Shared, mut room: Vec<Room>, holding: Vec<Ticket>) {
     for owner in turn(&context) {
@@ -58,7 +51,7 @@
 
 /// Tells the owners of lanes what this node holds of theirs.
 pub(crate) async fn hold(context: Shared, holding: Vec<Ticket>) {
-    for owner in owners(&context) {
+    for owner in owners(&context).iter().cloned() {
         let held = holding.iter().filter(|ticket| owner.lanes.contains(&ticket.lane));
         let holding: Vec<Ticket> = held.cloned().collect();
         if holding.is_empty() {
@@ -125,7 +118,7 @@
     let now = context.clock.now();
     let mut granting = edge.granting.lock().unwrap();
     granting.retain(|_, at| now - *at < GRANTING_TTL);
-    let mut owners = owners(context);
+    let mut owners = owners(context).to_vec();
     if owners.is_empty() {
         return owners;
     }
@@ -137,21 +130,8 @@
     hot.into_iter().chain(cold.into_iter().take(COLD_OWNERS)).collect()
 }
 
-/// The owner of each lane, as every node with the same view sees it.
-fn owners(context: &Shared) -> Vec<Owner> {
-    let view = context.membership.view();
-    let vms: Vec<&Vm> =
-        view.nodes.iter().filter(|(_, node)| !node.leaving).map(|(vm, _)| vm).collect();
-    let mut owners: BTreeMap<&Vm, Vec<Lane>> = BTreeMap::new();
-    for lane in (0..LANES).map(Lane) {
-        if let Some(vm) = rendezvous::choose(&format!("lane-{lane}"), vms.iter().copied()) {
-            owners.entry(vm).or_default().push(lane);
-        }
-    }
-    owners
-        .into_iter()
-        .map(|(vm, lanes)| Owner { vm: vm.clone(), address: view.nodes[vm].address, lanes })
-        .collect()
+fn owners(context: &Shared) -> Arc<[Owner]> {
+    context.batch.runner.edge.fleet.lock().unwrap().owners.clone()
 }
 
 /// Takes granted items off the room. Each is counted once, where its model fits.
@@ -161,7 +141,7 @@
             room.items > 0
                 && match &work.model {
                     Some(model) => room.models.contains(model),
-                    None => super::schedule::service(&work.url) == Some(&room.deployment.0),
+                    None => schedule::service(&work.url) == Some(&room.deployment.0),
                 }
         };
         if let Some(room) = room.iter_mut().find(fits) {
--- a/bulrushspread/src/batch/runner/task.rs
+++ b/bulrushspread/src/batch/runner/task.rs
@@ -190,11 +190,10 @@
 async fn follow_fleet(context: Shared) {
     let mut views = context.membership.watch();
     let mut documents = context.config.watch();
-    let margin = context.settings.batch.runner.margin as usize;
     loop {
         let view = views.borrow_and_update().clone();
         let document = documents.borrow_and_update().clone();
-        let fleet = Fleet::new(&context.settings.vm, &view, &document.document, margin);
+        let fleet = Fleet::new(&context.settings, &view, &document.document);
         let own = fleet.own.clone();
         *context.batch.runner.edge.fleet.lock().unwrap() = Arc::new(fleet);
         feed(&context, Event::Replicas(own));
--- a/bulrushspread/src/route/task.rs
+++ b/bulrushspread/src/route/task.rs
@@ -88,7 +88,12 @@
 
 async fn ask(context: &Shared, (upstream, address): &(Upstream, SocketAddr)) -> Option<Load> {
     match context.upstreams.report(*address).await {
-        Ok(report) => Some(Load::new(upstream.clone(), report)),
+        Ok(report) => {
+            let mut load = Load::new(upstream.clone(), report);
+            let batch = context.batch.runner.reported_streams(context, upstream);
+            load.in_flight = load.in_flight.saturating_sub(batch);
+            Some(load)
+        }
         Err(failure) => {
             if failure.reached == Reached::Nothing {
                 context.route.state().unreachable(context.clock.now(), upstream);
--- a/standins/src/experiment/policy.rs
+++ b/standins/src/experiment/policy.rs
@@ -127,13 +127,13 @@
 
     /// Declares the deployments that the policy needs.
     pub(super) fn declare(&self, plan: &mut Plan) {
-        if self.reserved() == 0 {
-            return;
-        }
         let Some(shared) = plan.piece.deployments.get_mut(&Deployment::from(DEPLOYMENT)) else {
             return;
         };
-        shared.batch = false;
+        shared.batch = self.has_batch() && self.reserved() == 0;
+        if self.reserved() == 0 {
+            return;
+        }
         let reserved = DeploymentSpec {
             models: vec![Model::from(RESERVED_MODEL)],
             batch: true,
