--- a/bulrushspread/src/gateway/task.rs
+++ b/bulrushspread/src/gateway/task.rs
@@ -17,7 +17,7 @@
 
 use super::{
     answer::{self, Outcome},
-    batches, completions, files, models, services,
+    auth, batches, completions, files, models, services,
 };
 
 /// The running listener, until the node stops.
@@ -87,7 +87,8 @@
 async fn ready(request: RequestContext<Shared>) -> Outcome {
     let phase = *request.context().phase.borrow();
     answer::of(match phase {
-        Phase::Serving => Ok(answer::json(StatusCode::OK, &"ready")),
+        Phase::Serving => auth::check_configured(request.context())
+            .map(|()| answer::json(StatusCode::OK, &"ready")),
         Phase::Starting | Phase::Draining => {
             Err(Error::new(Kind::Draining, "this node takes no requests now"))
         }
