--- a/bulrushspread/src/main.rs
+++ b/bulrushspread/src/main.rs
@@ -23,7 +23,10 @@
     },
     /// Prints the JSON Schema of the settings file.
     #[bpaf(command)]
-    Schema,
+    Schema {
+        /// Prints a Markdown table of all settings instead.
+        table: bool,
+    },
 }
 
 fn main() -> ExitCode {
@@ -48,7 +51,11 @@
             println!("{} is valid", file.display());
             Ok(())
         }
-        Command::Schema => {
+        Command::Schema { table: true } => {
+            print!("{}", Settings::table());
+            Ok(())
+        }
+        Command::Schema { table: false } => {
             println!("{}", serde_json::to_string_pretty(&Settings::schema())?);
             Ok(())
         }
--- a/bulrushspread/src/settings/mod.rs
+++ b/bulrushspread/src/settings/mod.rs
@@ -1,6 +1,7 @@
 //! The settings file of the daemon: one JSON document, checked before anything starts.
 
 mod check;
+mod table;
 
 use std::{fmt, fs, net::SocketAddr, path::Path};
 
@@ -91,10 +92,13 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
 pub struct Platform {
+    /// Address of the log service.
     #[schemars(with = "String")]
     pub log: SocketAddr,
+    /// Address of the VM list.
     #[schemars(with = "String")]
     pub vm_list: SocketAddr,
+    /// Address of the weight store.
     #[serde(default)]
     #[schemars(with = "Option<String>")]
     pub weight_store: Option<SocketAddr>,
@@ -124,6 +128,11 @@
     pub fn schema() -> schemars::schema::RootSchema {
         schemars::schema_for!(Settings)
     }
+
+    /// A Markdown table of all settings with their defaults.
+    pub fn table() -> String {
+        table::table(&serde_json::to_value(Settings::schema()).unwrap_or_default())
+    }
 }
 
 /// The parser's message, with an example where it names no valid form.
--- a/bulrushspread/tests/settings.rs
+++ b/bulrushspread/tests/settings.rs
@@ -68,3 +68,11 @@
     let error = Settings::parse(&settings.to_string()).expect_err("the settings are wrong");
     assert_eq!(error.problems.len(), 2);
 }
+
+#[test]
+fn every_setting_stands_in_the_docs_with_its_default() {
+    let page = include_str!("../../docs/SETTINGS.md");
+    let missing: Vec<String> =
+        Settings::table().lines().filter(|row| !page.contains(row)).map(str::to_string).collect();
+    assert!(missing.is_empty(), "run `bulrushspread schema --table`:\n{}", missing.join("\n"));
+}
