fix(standins): a fleet is ready once its nodes know one another

Cause: tests that began within the first poll of the VM list ran on nodes that each took themselves for the only one; what they should have told the others went nowhere.

Change: the harness waits until every node lists all others.

--- a/standins/src/fleet/mod.rs
+++ b/standins/src/fleet/mod.rs
@@ -191,14 +191,21 @@
         Ok(version)
     }
 
-    /// Waits until every running node serves the plan's model and service.
+    /// Waits until every running node serves the plan's model and knows all other nodes.
     pub async fn wait_ready(&self) -> Result<()> {
-        for node in self.nodes.iter().filter(|node| node.process.is_running()) {
+        let running = || self.nodes.iter().filter(|node| node.process.is_running());
+        let listed = running().filter(|node| node.listed).count();
+        for node in running() {
             let what = format!("{} serves the plan's document", node.vm);
             wait_until(&what, START_BOUND, || async {
                 node.is_ready(&self.client, &self.plan).await.then_some(())
             })
             .await?;
+            let what = format!("{} knows {listed} nodes", node.vm);
+            wait_until(&what, START_BOUND, || async {
+                (node.members(&self.client).await.ok()? >= listed).then_some(())
+            })
+            .await?;
         }
         Ok(())
     }
--- a/standins/src/fleet/operator.rs
+++ b/standins/src/fleet/operator.rs
@@ -30,6 +30,12 @@
         self.operate(client, Call::get(&path)).await?.success()?.json()
     }
 
+    /// The number of nodes that this node knows, itself included.
+    pub async fn members(&self, client: &Client) -> Result<usize> {
+        let answer = self.operate(client, Call::get("/v1/members")).await?.success()?;
+        Ok(answer.json::<Value>()?["members"].as_array().map_or(0, Vec::len))
+    }
+
     /// Whether the node knows the plan's caller and model and can reach an upstream.
     pub(crate) async fn is_ready(&self, client: &Client, plan: &Plan) -> bool {
         let caller = Caller::new(client.clone(), self.ready.gateway, CALLER_KEY);
