fix(peer): messages sent at once to a new address share one connection

Cause: each message without a connection opened one of its own. All but the last were dropped with their only user, and took datagrams with them that had not been sent.

Ruled out: closing the spare connections later, which still leaves a handshake a message.

Change: those who need the same connection wait for one attempt and share its result.

--- a/bulrushspread/src/peer/mod.rs
+++ b/bulrushspread/src/peer/mod.rs
@@ -1,5 +1,6 @@
 //! Messages between nodes over QUIC with mutual TLS.
 
+mod links;
 pub mod message;
 pub mod settings;
 pub mod traffic;
--- a/bulrushspread/src/peer/transport.rs
+++ b/bulrushspread/src/peer/transport.rs
@@ -1,15 +1,10 @@
 //! QUIC connections between nodes: datagrams that may be lost, and requests that are answered.
 
-use std::{
-    collections::BTreeMap,
-    fs,
-    net::SocketAddr,
-    sync::{Arc, Mutex},
-    time::Duration,
-};
+use std::{fs, net::SocketAddr, sync::Arc, time::Duration};
 
 use anyhow::{Context, anyhow, bail};
 use async_trait::async_trait;
+use futures_util::FutureExt;
 use quinn::{
     ClientConfig, Connection, Endpoint, IdleTimeout, ServerConfig, TransportConfig, VarInt,
     crypto::rustls::{QuicClientConfig, QuicServerConfig},
@@ -25,6 +20,7 @@
 
 use super::{
     Settings,
+    links::{self, Links},
     message::{Envelope, Message},
     traffic::{Bytes, Traffic},
 };
@@ -56,8 +52,7 @@
     incarnation: Incarnation,
     endpoint: Endpoint,
     timeout: Duration,
-    /// Connections that this node opened.
-    connections: Mutex<BTreeMap<SocketAddr, Connection>>,
+    links: Links,
     traffic: Traffic,
 }
 
@@ -73,7 +68,7 @@
             incarnation,
             endpoint,
             timeout: Duration::from_millis(settings.timeout_ms),
-            connections: Mutex::default(),
+            links: Links::default(),
             traffic: Traffic::default(),
         })
     }
@@ -89,7 +84,7 @@
         self.endpoint.set_server_config(Some(server));
         let mut endpoint = self.endpoint.clone();
         endpoint.set_default_client_config(client);
-        self.connections.lock().unwrap().clear();
+        self.links.clear();
         Ok(())
     }
 
@@ -152,27 +147,23 @@
     }
 
     async fn connection(&self, to: SocketAddr) -> Result<Connection> {
-        if let Some(connection) = self.open_connection(to) {
-            return Ok(connection);
-        }
-        let connecting = self.endpoint.connect(to, CERTIFICATE_NAME)?;
-        let connection = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
-            .await
-            .map_err(|_| anyhow!("{to} did not accept a connection in {CONNECT_TIMEOUT:?}"))??;
-        self.traffic.watch(&connection);
-        self.connections.lock().unwrap().insert(to, connection.clone());
-        Ok(connection)
+        let connect = || connect(self.endpoint.clone(), to, self.traffic.clone()).boxed();
+        self.links.get(to, connect).await.map_err(|reason| anyhow!(reason))
     }
+}
 
-    fn open_connection(&self, to: SocketAddr) -> Option<Connection> {
-        let mut connections = self.connections.lock().unwrap();
-        let connection = connections.get(&to)?;
-        if connection.close_reason().is_some() {
-            connections.remove(&to);
-            return None;
-        }
-        Some(connection.clone())
-    }
+async fn connect(
+    endpoint: Endpoint,
+    to: SocketAddr,
+    traffic: Traffic,
+) -> links::Result<Connection> {
+    let connecting = endpoint.connect(to, CERTIFICATE_NAME).map_err(|error| error.to_string())?;
+    let connection = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
+        .await
+        .map_err(|_| format!("{to} did not accept a connection in {CONNECT_TIMEOUT:?}"))?
+        .map_err(|error| error.to_string())?;
+    traffic.watch(&connection);
+    Ok(connection)
 }
 
 async fn serve_connection(connection: Connection, handler: Arc<dyn Handler>) {
