fix(attempt): suspects of all nodes run apart, and a death beside others is no proof

Cause: a suspect ran alone only as far as its own node knew.

Ruled out: a share of the engines for each node, as there are more nodes than engines; counting only after three deaths, which costs one more engine for each crashing request.

Change: the node that rendezvous picks for an upstream grants one suspect at a time; a node asks it before it sends one. A second death counts at once only while the suspect runs apart; beside others it counts when it happens again.

--- a/bulrushspread/src/attempt/drive.rs
+++ b/bulrushspread/src/attempt/drive.rs
@@ -8,12 +8,13 @@
 use crate::{
     error::Result,
     node::Shared,
-    route::{Lease, Refusal, Want, state::End},
+    route::{Isolation, Lease, Refusal, Want, state::End},
     time::Millis,
     upstream::{Failure, Reached},
 };
 
 use super::{
+    apart::{self, Reserved},
     spread,
     state::{Action, Choice, Event, Loss, Request},
     work::{Progress, Running, Work},
@@ -23,7 +24,8 @@
 const PROBES: u32 = 2;
 /// Time between two of these.
 const PROBE_PAUSE: Millis = Millis(100);
-
+/// Replicas that are tried for one that runs no suspect.
+const RESERVATIONS: u32 = 4;
 /// Time that a caller who doesn't read may hold back the end of its request.
 const LAST_WORD_TIMEOUT: Millis = Millis(1_000);
 
@@ -39,6 +41,8 @@
     /// Texts of the events that the caller has, in order of index.
     delivered: Vec<String>,
     running: Option<(u32, Lease, Running)>,
+    /// Held while the attempt runs apart from other suspects.
+    reserved: Option<Reserved>,
     wake: Millis,
 }
 
@@ -65,6 +69,7 @@
             out,
             delivered: Vec::new(),
             running: None,
+            reserved: None,
         }
     }
 
@@ -101,7 +106,7 @@
         for action in actions {
             match action {
                 Action::Dispatch { attempt, choice, .. } => {
-                    step = Step::Apply(self.dispatch(attempt, choice));
+                    step = Step::Apply(self.dispatch(attempt, choice).await);
                 }
                 Action::Deliver => {
                     let Some(progress) = progress.take() else { continue };
@@ -119,8 +124,12 @@
         step
     }
 
-    fn dispatch(&mut self, attempt: u32, choice: Choice) -> Event {
-        let lease = match self.pick(choice) {
+    async fn dispatch(&mut self, attempt: u32, choice: Choice) -> Event {
+        let picked = match choice.isolation {
+            Isolation::Shared => self.pick(&choice),
+            Isolation::Alone => self.pick_apart(choice).await,
+        };
+        let lease = match picked {
             Ok(lease) => lease,
             Err(Refusal::Busy) => return Event::Busy,
             Err(Refusal::NoReplica) => return Event::NoUpstream,
@@ -131,7 +140,24 @@
         Event::Picked { upstream }
     }
 
-    fn pick(&self, choice: Choice) -> std::result::Result<Lease, Refusal> {
+    /// Chooses a replica on which no suspect of any node runs.
+    async fn pick_apart(&mut self, mut choice: Choice) -> std::result::Result<Lease, Refusal> {
+        let mut refusal = None;
+        for _ in 0..RESERVATIONS {
+            let lease = self.pick(&choice).map_err(|reason| refusal.unwrap_or(reason))?;
+            let upstream = lease.pick.upstream.clone();
+            self.reserved = apart::reserve(&self.context, &upstream).await;
+            if self.reserved.is_some() {
+                return Ok(lease);
+            }
+            refusal = Some(Refusal::Busy);
+            choice.prefer = None;
+            choice.avoid.insert(upstream);
+        }
+        Err(Refusal::Busy)
+    }
+
+    fn pick(&self, choice: &Choice) -> std::result::Result<Lease, Refusal> {
         let mut refusal = Refusal::NoReplica;
         for serves in &self.serves {
             let want = Want {
@@ -205,6 +231,7 @@
 
     /// Ends the lost attempt with what it shows of its replica.
     fn release(&mut self, loss: Loss) {
+        self.reserved = None;
         let Some((_, lease, _)) = self.running.take() else { return };
         lease.finish(match loss {
             Loss::Refused => End::Neutral,
@@ -215,12 +242,14 @@
 
     /// Lets other requests run beside the current attempt again.
     fn share(&mut self) {
+        self.reserved = None;
         if let Some((_, lease, _)) = &mut self.running {
             lease.share();
         }
     }
 
     fn cancel(&mut self, end: End) {
+        self.reserved = None;
         let Some((_, lease, running)) = self.running.take() else { return };
         drop(running);
         self.work.cancel(&self.context, lease.pick.address);
@@ -228,6 +257,7 @@
     }
 
     async fn finish(&mut self, result: Result<()>) {
+        self.reserved = None;
         match result {
             Ok(()) => {
                 if let Some((_, lease, _)) = self.running.take() {
--- a/bulrushspread/src/attempt/handle.rs
+++ b/bulrushspread/src/attempt/handle.rs
@@ -13,7 +13,9 @@
 };
 
 use super::{
-    Generation, ServiceCall, Settings, call,
+    Generation, ServiceCall, Settings,
+    apart::Apart,
+    call,
     drive::Drive,
     intents::Intents,
     state::{Node, Repeat, Request},
@@ -27,6 +29,7 @@
 #[derive(Clone)]
 pub struct Handle {
     node: Arc<Mutex<Node>>,
+    pub(super) apart: Arc<Apart>,
     pub(super) intents: Arc<Intents>,
     /// Calls that go on without their caller.
     detached: watch::Sender<usize>,
@@ -35,6 +38,7 @@
 impl Handle {
     pub fn new(settings: Settings, seed: u64) -> Handle {
         Handle {
+            apart: Arc::default(),
             intents: Arc::new(Intents::new(settings.intent_streams)),
             node: Arc::new(Mutex::new(Node::new(settings, seed))),
             detached: watch::channel(0).0,
--- a/bulrushspread/src/attempt/message.rs
+++ b/bulrushspread/src/attempt/message.rs
@@ -4,7 +4,10 @@
 
 use crate::id::Incarnation;
 
-use super::quarantine::Suspect;
+use super::{
+    apart::{Ticket, Verdict},
+    quarantine::Suspect,
+};
 
 /// What nodes tell one another in this slice.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -16,4 +19,8 @@
     Runs {
         incarnation: Incarnation,
     },
+    /// Asks for an upstream on which no other suspect runs. Answered by `Reservation`.
+    Reserve(Ticket),
+    Reservation(Verdict),
+    Release(Ticket),
 }
--- a/bulrushspread/src/attempt/mod.rs
+++ b/bulrushspread/src/attempt/mod.rs
@@ -4,8 +4,10 @@
 //! * `budget` bounds the retries of a node.
 //! * `quarantine` recognises requests that crash upstreams.
 //! * `intent` folds the durable intents of calls that must run at most once.
+//! * `apart` keeps suspects apart from one another.
 //! * `drive` carries out the decisions for one request.
 
+pub mod apart;
 pub mod budget;
 mod call;
 mod drive;
--- a/bulrushspread/src/attempt/quarantine.rs
+++ b/bulrushspread/src/attempt/quarantine.rs
@@ -16,6 +16,8 @@
 
 /// Deaths that quarantine a request.
 const DEATHS: usize = 2;
+/// Deaths beside others that don't count against a suspect.
+const DEATHS_BESIDE: u32 = 1;
 /// Deaths of one upstream within this time are one death.
 const SAME_DEATH: Millis = Millis(5_000);
 /// Upstreams that die together show a failure of a rack or link, not of a request.
@@ -75,13 +77,21 @@
     suspects: BTreeMap<Fingerprint, Vec<Death>>,
     /// Deaths of late, oldest first, each upstream once.
     recent: VecDeque<Death>,
+    /// Deaths of suspects that ran beside others. Not told to other nodes.
+    beside: BTreeMap<Fingerprint, u32>,
     /// Suspects that changed here and that the other nodes haven't been told of.
     news: Vec<Suspect>,
 }
 
 impl Quarantine {
     pub fn new(keep: Millis) -> Quarantine {
-        Quarantine { keep, suspects: BTreeMap::new(), recent: VecDeque::new(), news: Vec::new() }
+        Quarantine {
+            keep,
+            suspects: BTreeMap::new(),
+            recent: VecDeque::new(),
+            beside: BTreeMap::new(),
+            news: Vec::new(),
+        }
     }
 
     /// How the request may be sent.
@@ -109,8 +119,28 @@
         self.verdict(now, &fingerprint)
     }
 
+    /// The upstream died while the request, a suspect, ran there beside others after it had
+    /// outlived its first death. Only a repetition counts against it.
+    pub fn died_beside(
+        &mut self,
+        now: Millis,
+        fingerprint: Fingerprint,
+        upstream: &Upstream,
+    ) -> Verdict {
+        if self.beside.len() >= CAPACITY {
+            self.beside.pop_first();
+        }
+        let deaths = self.beside.entry(fingerprint).or_default();
+        *deaths += 1;
+        if *deaths > DEATHS_BESIDE {
+            return self.died(now, fingerprint, upstream);
+        }
+        self.verdict(now, &fingerprint)
+    }
+
     /// The request has succeeded.
     pub fn succeeded(&mut self, fingerprint: &Fingerprint) {
+        self.beside.remove(fingerprint);
         if self.suspects.remove(fingerprint).is_some() {
             self.news.push(Suspect { fingerprint: *fingerprint, deaths: Vec::new() });
         }
--- a/bulrushspread/src/attempt/state.rs
+++ b/bulrushspread/src/attempt/state.rs
@@ -149,6 +149,8 @@
     sent: bool,
     /// The index that was next when an upstream died.
     died_at: u32,
+    /// The attempt runs beside others again, since it got well past `died_at`.
+    outlived: bool,
     choice: Choice,
 }
 
@@ -163,6 +165,7 @@
             next: 0,
             sent: false,
             died_at: 0,
+            outlived: false,
             choice: Choice::default(),
         }
     }
@@ -233,6 +236,7 @@
         if !last {
             let outlived = self.next == self.died_at + OUTLIVED_EVENTS
                 && self.choice.isolation == Isolation::Alone;
+            self.outlived |= outlived;
             let share = outlived.then_some(Action::Share);
             return [Action::Deliver].into_iter().chain(share).collect();
         }
@@ -248,7 +252,10 @@
         self.choice.prefer = None;
         if loss == Loss::Died {
             self.died_at = self.next;
-            let verdict = node.quarantine.died(now, self.fingerprint, &upstream);
+            let verdict = match self.outlived {
+                true => node.quarantine.died_beside(now, self.fingerprint, &upstream),
+                false => node.quarantine.died(now, self.fingerprint, &upstream),
+            };
             if verdict == Verdict::Quarantined {
                 return self.finish(Err(quarantined()));
             }
@@ -302,6 +309,7 @@
             Verdict::Quarantined => return self.finish(Err(quarantined())),
         };
         self.attempt += 1;
+        self.outlived = false;
         self.phase = Phase::Picking;
         vec![Action::Dispatch {
             attempt: self.attempt,
--- a/bulrushspread/src/attempt/task.rs
+++ b/bulrushspread/src/attempt/task.rs
@@ -30,7 +30,12 @@
             let incarnation = context.incarnation;
             return PeerMessage::Attempt(Message::Runs { incarnation });
         }
-        Message::Runs { .. } => {}
+        Message::Reserve(ticket) => {
+            let verdict = context.attempt.apart.reserve(context.clock.now(), ticket);
+            return PeerMessage::Attempt(Message::Reservation(verdict));
+        }
+        Message::Release(ticket) => context.attempt.apart.release(&ticket),
+        Message::Runs { .. } | Message::Reservation(_) => {}
     }
     PeerMessage::Done
 }
--- /dev/null
+++ b/standins/tests/fault_crash.rs
@@ -0,0 +1,71 @@
+//! A request that crashes each engine that runs it is given up; its neighbours are not.
+
+use futures_util::future::join_all;
+use http::StatusCode;
+use serde_json::Value;
+use standins::{
+    client::Call,
+    engine::text,
+    fleet::{Fleet, MODEL, Plan, Program, Result},
+};
+
+const ENGINES: usize = 4;
+/// Engines that one request may take down.
+const CRASH_LIMIT: usize = 2;
+const TOKENS: u32 = 60;
+const PROMPT: &str = "<id:poison> <crash>";
+
+async fn send_poison(fleet: &Fleet, node: usize) -> Result<(StatusCode, Value)> {
+    let body = serde_json::json!({
+        "model": MODEL,
+        "max_tokens": 4,
+        "messages": [{ "role": "user", "content": PROMPT }],
+    });
+    let call = Call::new(http::Method::POST, "/v1/chat/completions").json(&body);
+    let answer = fleet.caller(node).call(call).await?;
+    Ok((answer.status, answer.json()?))
+}
+
+/// Engines that have ended so far.
+fn crashed(fleet: &mut Fleet) -> usize {
+    let ended = fleet
+        .engines
+        .iter_mut()
+        .filter_map(|engine| engine.standin.process.has_ended().then_some(()));
+    ended.count()
+}
+
+#[tokio::test]
+async fn crashing_request_is_quarantined_and_its_neighbours_finish() -> Result<()> {
+    let mut plan = Plan::new(Program::at(env!("CARGO_BIN_EXE_standin")));
+    plan.engines = ENGINES;
+    Fleet::run(plan, async |fleet| {
+        let neighbours = (0..12).map(|index| {
+            let caller = fleet.caller(index % fleet.nodes.len());
+            tokio::spawn(async move {
+                let name = format!("neighbour-{index}");
+                let chat = caller.stream(&format!("<id:{name}>"), TOKENS).await?;
+                assert_eq!(chat.text, text::whole(&name, TOKENS));
+                Result::Ok(())
+            })
+        });
+        let neighbours: Vec<_> = neighbours.collect();
+        fleet.wait_active("neighbour-0").await?;
+
+        let (status, body) = send_poison(fleet, 0).await?;
+        assert_eq!(status, StatusCode::UNPROCESSABLE_ENTITY, "{body}");
+        assert_eq!(body["error"]["retryable"], false);
+        for neighbour in join_all(neighbours).await {
+            neighbour??;
+        }
+        assert!(crashed(fleet) <= CRASH_LIMIT, "{} engines crashed", crashed(fleet));
+
+        for node in 0..fleet.nodes.len() {
+            let (status, body) = send_poison(fleet, node).await?;
+            assert_eq!(status, StatusCode::UNPROCESSABLE_ENTITY, "at node {node}: {body}");
+        }
+        assert!(crashed(fleet) <= CRASH_LIMIT, "{} engines crashed", crashed(fleet));
+        Ok(())
+    })
+    .await
+}
