--- /dev/null
+++ b/bulrushspread/examples/batch_bench/commit.rs
@@ -0,0 +1,145 @@
+//! Grants items, takes their outcomes in, journals and folds them.
+
+use std::time::Instant;
+
+use bulrushspread::{
+    batch::{
+        Settings,
+        message::{End, Outcome, Pull, Room},
+        owner::{Event, State},
+        record::{Lane as Record, decode, encode},
+    },
+    id::{Deployment, Incarnation, Lane, Model, Offset, Stream, Vm},
+    journal::{
+        self, Page,
+        appender::Request,
+        record::{Position, Writer, decode as decode_append, encode as encode_append},
+        state::{Action, Event as LogEvent, State as Journal},
+        store::Stored,
+    },
+    time::Millis,
+};
+use serde_json::{Value, json};
+
+use super::records;
+
+/// Items of one append: 12,000 items a second at 300 appends a second.
+const ITEMS_PER_APPEND: u32 = 40;
+/// Bytes of one answer's body.
+const BODY_BYTES: usize = 600;
+/// Items a second at the target size.
+const TARGET_ITEMS_PER_S: f64 = 12_000.0;
+const JOBS: u32 = 4;
+
+/// An owner, its journal and the log, in one thread.
+struct Bench {
+    now: Millis,
+    owner: State,
+    journal: Journal,
+    stream: Stream,
+    /// The next offset of the log.
+    head: u64,
+    bytes: usize,
+}
+
+pub(crate) fn measure(items: u32) -> Value {
+    let mut bench = Bench::start(items);
+    let start = Instant::now();
+    let mut committed = 0;
+    while committed < items {
+        committed += bench.round();
+    }
+    let elapsed = start.elapsed().as_secs_f64();
+    let per_s = f64::from(items) / elapsed;
+    json!({
+        "items": items,
+        "appends": bench.head - 1,
+        "items_per_append": ITEMS_PER_APPEND,
+        "seconds": elapsed,
+        "items_per_s": per_s,
+        "core_share_at_target": TARGET_ITEMS_PER_S / per_s,
+        "log_bytes_per_item": bench.bytes as f64 / f64::from(items),
+    })
+}
+
+impl Bench {
+    fn start(items: u32) -> Bench {
+        let me = Writer { vm: Vm::from("entry-1"), incarnation: Incarnation(1) };
+        let settings = Settings { adopt_ms: 0, ..Settings::default() };
+        let log = journal::Settings { appends_per_s: 1_000_000, ..journal::Settings::default() };
+        let mut bench = Bench {
+            now: Millis(1),
+            owner: State::new(me.clone(), Lane(0), settings),
+            journal: Journal::new(me.clone(), log),
+            stream: Stream::from("production.lane-0"),
+            head: 0,
+            bytes: 0,
+        };
+        for number in 0..JOBS {
+            let spec = records::spec(number as usize, items / JOBS);
+            bench.owner.apply(bench.now, Event::Opened(spec));
+        }
+        let claim = Record::Claim { epoch: bench.owner.fold().next_epoch(None), owner: me };
+        bench.commit(&[claim]);
+        bench.owner.apply(bench.now, Event::CaughtUp);
+        bench
+    }
+
+    /// Commits the results of one grant.
+    fn round(&mut self) -> u32 {
+        self.now = self.now + Millis(1);
+        self.owner.apply(self.now, Event::Checked(self.now));
+        let room = Room {
+            deployment: Deployment::from("lm-pool"),
+            models: vec![Model::from("svetovalec")],
+            items: ITEMS_PER_APPEND,
+        };
+        let pull = Pull { lanes: vec![Lane(0)], room: vec![room], holding: Vec::new() };
+        let (picks, _) = self.owner.pull(self.now, &Vm::from("entry-2"), &pull);
+        for pick in &picks {
+            let ticket = pick.ticket.clone();
+            let name = format!("note-{}", ticket.item);
+            self.owner.apply(self.now, Event::Named(ticket.job.clone(), ticket.item, name));
+            let body = "x".repeat(BODY_BYTES);
+            let outcome = Outcome { ticket, end: End::Answered { status: 200, body } };
+            self.owner.outcome(self.now, &outcome);
+        }
+        let records = self.owner.batch(usize::MAX);
+        self.commit(&records);
+        picks.len() as u32
+    }
+
+    /// Appends through the journal, reads back and folds.
+    fn commit(&mut self, records: &[Record]) {
+        let bodies = records.iter().map(|record| encode(record).unwrap()).collect();
+        let deadline = self.now + Millis(3_000);
+        let request = Request { number: self.head, bodies, deadline };
+        let mut actions = self.journal.apply(self.now, &self.stream, LogEvent::Append(request));
+        let mut appended = Vec::new();
+        while let Some(action) = actions.pop() {
+            let event = match action {
+                Action::Append(_, records) => {
+                    appended = encode_append(&records).unwrap();
+                    self.bytes += appended.len();
+                    self.head += 1;
+                    LogEvent::Appended(Offset(self.head - 1))
+                }
+                Action::Read(_, from) => LogEvent::Read(self.page(from, &appended)),
+                Action::Answer(_) => continue,
+            };
+            actions.extend(self.journal.apply(self.now, &self.stream, event));
+        }
+        for entry in decode_append(Offset(self.head - 1), &appended).unwrap() {
+            let record: Record = decode(&entry.record.body).unwrap();
+            let position = Position { offset: entry.position.offset, ..entry.position };
+            self.owner.apply(self.now, Event::Record(position, record));
+        }
+    }
+
+    fn page(&self, from: Offset, appended: &[u8]) -> Page {
+        let head = Offset(self.head);
+        let stored = Stored { offset: from, data: appended.to_vec() };
+        let appends = if from < head { vec![stored] } else { Vec::new() };
+        Page { first: Offset(0), head, appends }
+    }
+}
--- /dev/null
+++ b/bulrushspread/examples/batch_bench/memory.rs
@@ -0,0 +1,104 @@
+//! Resident memory of folds and ledgers by their size.
+
+use std::fs;
+
+use bulrushspread::{
+    batch::{
+        Settings,
+        items::Items,
+        jobs,
+        lane::Fold,
+        ledger::Ledger,
+        message::Room,
+        record::{Final, Jobs, Lane as Record, Outcome},
+    },
+    id::{Deployment, Epoch, Item, Lane, Model, Vm},
+    journal::record::Writer,
+    time::Millis,
+};
+use serde_json::{Value, json};
+
+use super::records::{self, position};
+
+const PAGE_BYTES: usize = 4_096;
+/// Items of a job of average size at the target size.
+const JOB_ITEMS: u32 = 20_000;
+/// Items of one job in one append.
+const GROUP: u32 = 10;
+
+/// Files and finished jobs of the jobs stream.
+pub(crate) fn jobs(jobs: usize) -> Value {
+    let before = resident();
+    let mut fold = jobs::Fold::default();
+    for number in 0..jobs {
+        fold.apply(position(3 * number), &Jobs::FileCreated(records::file(number)));
+        fold.apply(position(3 * number + 1), &Jobs::JobCreated(records::job(number)));
+        fold.apply(position(3 * number + 2), &Jobs::JobFinished(records::finished(number)));
+    }
+    let bytes = resident().saturating_sub(before);
+    let counted = fold.jobs().count();
+    json!({ "jobs": counted, "bytes": bytes, "bytes_per_job": bytes / jobs })
+}
+
+/// A lane with unfinished jobs, all of whose items but one have ended.
+pub(crate) fn lane(jobs: usize) -> Value {
+    let before = resident();
+    let mut fold = Fold::default();
+    let epoch = Epoch(1);
+    fold.apply(position(0), &Record::Claim { epoch, owner: Writer::default() });
+    let outcome = Outcome::Answered { status: 200, body: String::new() };
+    let mut offset = 1;
+    for first in (0..JOB_ITEMS - 1).step_by(GROUP as usize) {
+        for number in 0..jobs {
+            let last = (first + GROUP).min(JOB_ITEMS - 1);
+            let results = (first..last).map(|item| Final {
+                item: Item(item),
+                custom_id: String::new(),
+                outcome: outcome.clone(),
+            });
+            let job = records::spec(number, JOB_ITEMS).job;
+            let record = Record::Results { epoch, job, results: results.collect() };
+            fold.apply(position(offset), &record);
+            offset += 1;
+        }
+    }
+    let bytes = resident().saturating_sub(before);
+    let counted = fold.jobs.len();
+    json!({
+        "unfinished_jobs": counted,
+        "items_per_job": JOB_ITEMS,
+        "bytes": bytes,
+        "bytes_per_job": bytes / jobs,
+        "bytes_per_item": bytes as f64 / (jobs as f64 * f64::from(JOB_ITEMS)),
+    })
+}
+
+/// A ledger with items that run.
+pub(crate) fn running(items: u32) -> Value {
+    let before = resident();
+    let settings = Settings { adopt_ms: 0, ..Settings::default() };
+    let mut ledger = Ledger::new(Millis(0), Lane(0), Epoch(1), settings);
+    let spec = records::spec(0, items);
+    ledger.add(Millis(0), spec, Items::default(), Items::default());
+    let room = Room {
+        deployment: Deployment::from("lm-pool"),
+        models: vec![Model::from("svetovalec")],
+        items,
+    };
+    let granted = ledger.grant(Millis(1), &Vm::from("entry-2"), &[room]).len();
+    let bytes = resident().saturating_sub(before);
+    let runners = ledger.runners().count();
+    json!({
+        "running": granted,
+        "runners": runners,
+        "bytes": bytes,
+        "bytes_per_item": bytes / items as usize,
+    })
+}
+
+/// Resident bytes of this process.
+fn resident() -> usize {
+    let statm = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split_whitespace().nth(1).and_then(|pages| pages.parse::<usize>().ok());
+    pages.unwrap_or_default() * PAGE_BYTES
+}
--- a/bulrushspread/src/batch/jobs.rs
+++ b/bulrushspread/src/batch/jobs.rs
@@ -8,6 +8,7 @@
 use crate::{
     id::{File, Job, Workspace},
     journal::record::Position,
+    time::Millis,
 };
 
 use super::record::{FileCreated, JobCreated, JobFinished, Jobs};
@@ -27,8 +28,8 @@
 pub struct FileState {
     /// Where the record first stood.
     pub position: Position,
-    /// Where the last copy of the record stands.
-    pub carried: Position,
+    /// When the last copy of the record was written. Wall clock.
+    pub carried_at: Millis,
     pub created: FileCreated,
     /// Jobs of the file that have not finished. The file does not expire while there are any.
     pub open_jobs: u32,
@@ -38,8 +39,8 @@
 pub struct JobState {
     /// Where the record first stood. Decides between jobs of the same key.
     pub position: Position,
-    /// Where the last copy of the record stands.
-    pub carried: Position,
+    /// When the last copy of the record was written. Wall clock.
+    pub carried_at: Millis,
     pub created: Arc<JobCreated>,
     pub cancelled: bool,
     /// Set once and never changed.
@@ -67,8 +68,8 @@
     /// Takes in the next record of the stream.
     pub fn apply(&mut self, position: Position, record: &Jobs) -> Effect {
         match record {
-            Jobs::Carried { position: original, record } => self.fold(*original, position, record),
-            record => self.fold(position, position, record),
+            Jobs::Carried { position, at, record } => self.fold(*position, Some(*at), record),
+            record => self.fold(position, None, record),
         }
     }
 
@@ -99,10 +100,10 @@
         self.files.values()
     }
 
-    fn fold(&mut self, original: Position, position: Position, record: &Jobs) -> Effect {
+    fn fold(&mut self, position: Position, at: Option<Millis>, record: &Jobs) -> Effect {
         match record {
-            Jobs::FileCreated(created) => self.add_file(original, position, created),
-            Jobs::JobCreated(created) => self.add_job(original, position, created),
+            Jobs::FileCreated(created) => self.add_file(position, at, created),
+            Jobs::JobCreated(created) => self.add_job(position, at, created),
             Jobs::JobCancelled { job } => self.cancel(job),
             Jobs::JobFinished(finished) => self.finish(finished),
             Jobs::Expired { jobs, files } => self.expire(jobs, files),
@@ -110,20 +111,21 @@
         }
     }
 
-    fn add_file(&mut self, original: Position, carried: Position, file: &FileCreated) -> Effect {
+    fn add_file(&mut self, position: Position, at: Option<Millis>, file: &FileCreated) -> Effect {
         if let Some(state) = self.files.get_mut(&file.file) {
-            state.carried = state.carried.max(carried);
+            state.carried_at = state.carried_at.max(at.unwrap_or_default());
             return Effect::Void;
         }
         let created = file.clone();
-        let state = FileState { position: original, carried, created, open_jobs: 0 };
+        let carried_at = at.unwrap_or(file.created_at);
+        let state = FileState { position, carried_at, created, open_jobs: 0 };
         self.files.insert(file.file.clone(), state);
         Effect::FileAdded(file.file.clone())
     }
 
-    fn add_job(&mut self, original: Position, carried: Position, job: &JobCreated) -> Effect {
+    fn add_job(&mut self, position: Position, at: Option<Millis>, job: &JobCreated) -> Effect {
         if let Some(state) = self.jobs.get_mut(&job.job) {
-            state.carried = state.carried.max(carried);
+            state.carried_at = state.carried_at.max(at.unwrap_or_default());
             return Effect::Void;
         }
         if !self.accepts(job) {
@@ -131,14 +133,14 @@
         }
         let holder = self.holder(job).map(|state| (state.position, state.created.job.clone()));
         let effect = match holder {
-            Some((position, _)) if position < original => return Effect::Void,
+            Some((first, _)) if first < position => return Effect::Void,
             Some((_, dropped)) => {
                 self.remove(&dropped);
                 Effect::JobReplaced { by: job.job.clone(), dropped }
             }
             None => Effect::JobAdded(job.job.clone()),
         };
-        self.insert(original, carried, job);
+        self.insert(position, at.unwrap_or(job.created_at), job);
         effect
     }
 
@@ -152,7 +154,7 @@
         self.by_key(&job.workspace, job.key.as_ref()?)
     }
 
-    fn insert(&mut self, position: Position, carried: Position, job: &JobCreated) {
+    fn insert(&mut self, position: Position, carried_at: Millis, job: &JobCreated) {
         let (id, workspace) = (job.job.clone(), job.workspace.clone());
         if let Some(key) = &job.key {
             self.keys.entry(workspace.clone()).or_default().insert(key.clone(), id.clone());
@@ -162,7 +164,7 @@
             file.open_jobs += 1;
         }
         let created = Arc::new(job.clone());
-        let state = JobState { position, carried, created, cancelled: false, finished: None };
+        let state = JobState { position, carried_at, created, cancelled: false, finished: None };
         self.jobs.insert(id, state);
     }
 
--- a/bulrushspread/src/batch/lane.rs
+++ b/bulrushspread/src/batch/lane.rs
@@ -98,9 +98,13 @@
         self.jobs.remove(job);
     }
 
-    /// The epoch that a new claim needs.
-    pub fn next_epoch(&self) -> Epoch {
-        Epoch(self.claim.as_ref().map_or(1, |claim| claim.epoch.0 + 1))
+    /// The epoch that a new claim needs after the record at `folded`.
+    ///
+    /// Offsets only grow, so the epoch is higher than those of claims that have expired too.
+    pub fn next_epoch(&self, folded: Option<Position>) -> Epoch {
+        let after = self.claim.as_ref().map_or(1, |claim| claim.epoch.0 + 1);
+        let offset = folded.map_or(0, |position| position.offset.0 + 1);
+        Epoch(after.max(offset))
     }
 
     fn claim(&mut self, epoch: Epoch, owner: &Writer) -> Effect {
--- a/bulrushspread/src/batch/mod.rs
+++ b/bulrushspread/src/batch/mod.rs
@@ -16,6 +16,7 @@
 pub mod runner;
 pub mod settings;
 pub(crate) mod task;
+pub mod upkeep;
 pub mod upload;
 pub mod view;
 
--- a/bulrushspread/src/batch/owner/actor.rs
+++ b/bulrushspread/src/batch/owner/actor.rs
@@ -312,10 +312,13 @@
         }
         self.owned = owns;
         let epoch = self.state.fold().claim.as_ref().map(|claim| claim.epoch).unwrap_or_default();
+        let mut owned = self.context.batch.owner.owned.lock().unwrap();
         if owns {
+            owned.insert(self.lane);
             let _ = self.context.metrics.incr("batch.lane.claimed");
             log::info!("batch: lane {} is owned in epoch {epoch}", self.lane);
         } else {
+            owned.remove(&self.lane);
             log::info!("batch: lane {} is no longer owned, epoch {epoch}", self.lane);
         }
     }
--- a/bulrushspread/src/batch/owner/claim.rs
+++ b/bulrushspread/src/batch/owner/claim.rs
@@ -30,7 +30,7 @@
             return Vec::new();
         }
         self.appending = true;
-        let (epoch, owner) = (self.fold.next_epoch(), self.me.clone());
+        let (epoch, owner) = (self.fold.next_epoch(self.folded), self.me.clone());
         vec![Action::Append(Record::Claim { epoch, owner })]
     }
 
@@ -41,7 +41,7 @@
         let wanted = self.chosen.as_ref() == Some(&self.me.vm) && !self.stopping;
         if wanted {
             self.unwanted_since = None;
-            return Vec::new();
+            return self.renew(now);
         }
         let since = *self.unwanted_since.get_or_insert(now);
         let patience = if self.stopping { 0 } else { self.settings.handover_ms };
@@ -53,7 +53,21 @@
         vec![Action::Append(Record::Release { epoch })]
     }
 
+    /// Claims the lane anew long before the claim in force expires from the log.
+    fn renew(&mut self, now: Millis) -> Vec<Action> {
+        match self.is_due(now) && self.outbox.is_empty() {
+            true => self.claim(),
+            false => Vec::new(),
+        }
+    }
+
+    /// Whether the claim in force is so old that a new one is due.
+    pub(super) fn is_due(&self, now: Millis) -> bool {
+        now >= self.claimed_at + Millis(self.settings.renew_ms)
+    }
+
     fn take_up(&mut self, now: Millis, epoch: Epoch) -> Vec<Action> {
+        self.claimed_at = now;
         self.ledger = Some(Ledger::new(now, self.lane, epoch, self.settings.clone()));
         let jobs: Vec<Job> = self.specs.keys().cloned().collect();
         for job in &jobs {
--- a/bulrushspread/src/batch/owner/handle.rs
+++ b/bulrushspread/src/batch/owner/handle.rs
@@ -1,7 +1,7 @@
 //! What other slices use of the lane owner.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{Arc, Mutex},
 };
 
@@ -19,6 +19,8 @@
 pub struct Handle {
     pub(crate) directory: Arc<Directory>,
     pub(crate) files: Arc<Cache>,
+    /// The lanes that this node owns.
+    pub(crate) owned: Arc<Mutex<BTreeSet<Lane>>>,
     /// The lanes that this node follows.
     pub(crate) lanes: Arc<Mutex<BTreeMap<Lane, mpsc::UnboundedSender<Command>>>>,
 }
--- a/bulrushspread/src/batch/owner/state.rs
+++ b/bulrushspread/src/batch/owner/state.rs
@@ -84,10 +84,12 @@
     pub(super) waits: Option<(bool, Millis)>,
     /// At this time the claim in force was the last one for sure.
     checked_at: Millis,
+    /// When this node took the lane up.
+    pub(super) claimed_at: Millis,
     /// From here on no former owner hands out items.
     settled_at: Millis,
     /// The place of the last record taken in.
-    folded: Option<Position>,
+    pub(super) folded: Option<Position>,
     pub(super) stopping: bool,
 }
 
@@ -110,6 +112,7 @@
             unwanted_since: None,
             waits: None,
             checked_at: Millis::default(),
+            claimed_at: Millis::default(),
             settled_at: Millis::default(),
             folded: None,
             stopping: false,
@@ -234,8 +237,12 @@
         }
     }
 
-    /// Takes in how a run ended. `None` if this node does not own the lane.
+    /// Takes in how a run ended. `None` if this node does not own the lane or is about to claim
+    /// or release it, so that no outcome is lost between two epochs.
     pub fn outcome(&mut self, now: Millis, outcome: &Outcome) -> Option<(Taken, Vec<Action>)> {
+        if self.appending || self.is_due(now) {
+            return None;
+        }
         let (taken, actions) = self.ledger.as_mut()?.outcome(now, outcome);
         Some((taken, self.translate(actions)))
     }
@@ -268,7 +275,8 @@
     }
 
     fn record(&mut self, now: Millis, position: Position, record: &Record) -> Vec<Action> {
-        let before = self.fold.claim.as_ref().is_some_and(|claim| !claim.released);
+        let before = self.fold.claim.as_ref();
+        let before = before.is_some_and(|claim| !claim.released && claim.owner != self.me);
         self.folded = Some(position);
         match self.fold.apply(position, record) {
             Effect::Void | Effect::Indexed(..) => Vec::new(),
--- a/bulrushspread/src/batch/owner/task.rs
+++ b/bulrushspread/src/batch/owner/task.rs
@@ -10,6 +10,7 @@
         ledger::{Spec, queue::Pool},
         message::{Grant, Outcome, Outcomes, Pull},
         record::JobCreated,
+        upkeep,
         view::Counts,
     },
     id::{Incarnation, Job, Lane, Vm, Workspace},
@@ -36,6 +37,7 @@
 pub(crate) async fn start(context: &Shared) -> Result<()> {
     tokio::spawn(directory::follow(context.clone()));
     tokio::spawn(watch_members(context.clone()));
+    tokio::spawn(upkeep::run(context.clone()));
     Ok(())
 }
 
--- a/bulrushspread/src/batch/record.rs
+++ b/bulrushspread/src/batch/record.rs
@@ -33,6 +33,8 @@
     /// A record repeated before it expires, with the place where it first stood.
     Carried {
         position: Position,
+        /// Wall clock of the repetition.
+        at: Millis,
         record: Box<Jobs>,
     },
     /// Jobs and files that are past their retention.
--- a/bulrushspread/src/batch/settings.rs
+++ b/bulrushspread/src/batch/settings.rs
@@ -35,6 +35,8 @@
     pub handover_ms: u64,
     /// Milliseconds for which an owner must be gone before another node claims its lane.
     pub takeover_ms: u64,
+    /// Milliseconds after which an owner claims its lane anew. Less than half of the log's retention.
+    pub renew_ms: u64,
     /// Milliseconds for which an owner that can't read its lane goes on to hand out items.
     pub outage_grant_ms: u64,
     /// Bytes of results that may wait for the log. Beyond it nothing is granted.
@@ -63,6 +65,7 @@
             hold_grace_ms: 5_000,
             handover_ms: 5_000,
             takeover_ms: 1_500,
+            renew_ms: 21_600_000,
             outage_grant_ms: 30_000,
             outcome_bytes: 8 << 20,
             cache_bytes: 8 << 20,
--- a/bulrushspread/tests/batch_lane.rs
+++ b/bulrushspread/tests/batch_lane.rs
@@ -148,6 +148,7 @@
             hold_grace_ms: 200,
             handover_ms: 200,
             takeover_ms: 50,
+            renew_ms: 2_000,
             outage_grant_ms: 600,
             retry_delay_ms: 10,
             ..Settings::default()
--- a/bulrushspread/tests/batch_ledger.rs
+++ b/bulrushspread/tests/batch_ledger.rs
@@ -9,8 +9,10 @@
         jobs::{Effect, Fold},
         ledger::{Action, Ledger, Pick, Spec, queue::Pool},
         message::{End, Outcome, Room},
-        record::{FileCreated, JobCreated, Jobs, Outcome as Record, decode, encode},
+        record::{FileCreated, JobCreated, JobFinished, Jobs, Outcome as Record, decode, encode},
+        upkeep::{Ages, due},
         upload::Cutter,
+        view::Counts,
     },
     id::{Deployment, Epoch, File, Item, Job, Lane, Model, Offset, Vm, Workspace},
     journal::record::Position,
@@ -216,6 +218,49 @@
     assert_eq!(fold.apply(at(1), &job("x", "b", None)), Effect::Void);
 }
 
+#[test]
+fn carries_live_jobs_forward_and_drops_those_past_their_retention() {
+    let mut fold = Fold::default();
+    fold.apply(at(0), &file("file-of-a", "a"));
+    for (place, name) in ["open", "ended"].iter().enumerate() {
+        fold.apply(at(place + 1), &job(name, "a", None));
+    }
+    let finished = JobFinished {
+        job: Job::from("ended"),
+        counts: Counts::default(),
+        index: Position::default(),
+        finished_at: Millis(50),
+    };
+    fold.apply(at(3), &Jobs::JobFinished(finished));
+    let ages = Ages { retention: Millis(100), carry: Millis(60) };
+    let names = |now: u64, fold: &Fold| -> Vec<String> {
+        let records = due(fold, Millis(now), ages, |_| true);
+        records.iter().map(describe).collect()
+    };
+    assert_eq!(names(60, &fold), [] as [&str; 0]);
+    assert_eq!(names(61, &fold), ["file", "job ended", "end of ended", "job open"]);
+    assert_eq!(names(151, &fold), ["file", "job open", "expired ended"]);
+    for (place, record) in due(&fold, Millis(151), ages, |_| true).iter().enumerate() {
+        fold.apply(at(place + 4), record);
+    }
+    assert_eq!(names(151, &fold), [] as [&str; 0]);
+    assert!(fold.job(&Job::from("open")).is_some() && fold.job(&Job::from("ended")).is_none());
+    assert!(fold.file(&File::from("file-of-a")).is_some(), "an open job needs its file");
+}
+
+fn describe(record: &Jobs) -> String {
+    match record {
+        Jobs::Carried { record, .. } => describe(record),
+        Jobs::FileCreated(_) => "file".to_string(),
+        Jobs::JobCreated(created) => format!("job {}", created.job),
+        Jobs::JobFinished(finished) => format!("end of {}", finished.job),
+        Jobs::JobCancelled { job } => format!("cancel of {job}"),
+        Jobs::Expired { jobs, .. } => {
+            format!("expired {}", jobs.iter().map(Job::to_string).collect::<String>())
+        }
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 256,
@@ -245,11 +290,12 @@
             .map(|job| (job.position, JobCreated::clone(&job.created)))
             .collect();
         for (place, record) in stream.clone().into_iter().take(2).enumerate() {
-            stream.push(Jobs::Carried { position: at(place), record: Box::new(record) });
+            let record = Box::new(record);
+            stream.push(Jobs::Carried { position: at(place), at: Millis(1), record });
         }
         for (position, created) in winners {
             let record = Box::new(Jobs::JobCreated(created));
-            stream.push(Jobs::Carried { position, record });
+            stream.push(Jobs::Carried { position, at: Millis(1), record });
         }
         let mut late = Fold::default();
         for (place, record) in stream.iter().enumerate().skip(skipped.min(creates.len() + 2)) {
