--- a/bulrushspread/src/route/task.rs
+++ b/bulrushspread/src/route/task.rs
@@ -119,7 +119,12 @@
     };
     let upstream = &polled.upstream;
     match report {
-        Ok(report) => Some(Load::new(upstream.clone(), report)),
+        Ok(report) => {
+            let mut load = Load::new(upstream.clone(), report);
+            let batch = context.batch.runner.reported_streams(context, upstream);
+            load.in_flight = load.in_flight.saturating_sub(batch);
+            Some(load)
+        }
         Err(failure) => {
             if failure.reached == Reached::Nothing {
                 context.route.state().unreachable(context.clock.now(), upstream);
