--- a/bulrushspread/src/route/settings.rs
+++ b/bulrushspread/src/route/settings.rs
@@ -15,7 +15,9 @@
     pub fill: f64,
     /// Cost of another data centre, as a share of a replica's slots.
     pub data_centre_cost: f64,
-    /// Requests by which the replica of a prefix may exceed another one, as a share of the slots.
+    /// Cost that a cached prefix saves, as a share of a replica's slots.
+    pub prefix_worth: f64,
+    /// Load by which the replica of a prefix may exceed the even load, as a share of it.
     pub prefix_slack: f64,
     /// Milliseconds over which a new replica takes up its full share.
     pub slow_start_ms: u64,
@@ -36,6 +38,7 @@
             report_decay_ms: 1_500,
             fill: 0.75,
             data_centre_cost: 0.15,
+            prefix_worth: 0.1,
             prefix_slack: 0.25,
             slow_start_ms: 10_000,
             eject_failures: 3,
--- a/bulrushspread/src/route/state.rs
+++ b/bulrushspread/src/route/state.rs
@@ -313,8 +313,9 @@
         let second = draw(&mut self.rng, &open[..window], allowed);
         let better = first.into_iter().chain(second).min_by(|a, b| cost(a).total_cmp(&cost(b)));
         let owner = want.prefix.map(|prefix| &open[jump(prefix, window)]);
-        if let Some(owner) = owner.filter(|owner| allowed(owner))
-            && better.is_none_or(|better| cost(owner) <= cost(better) + self.settings.prefix_slack)
+        let bound = self.prefix_bound(group, window);
+        if let Some(owner) = owner.filter(|owner| allowed(owner) && self.in_flight(owner) < bound)
+            && better.is_none_or(|better| cost(owner) <= cost(better) + self.settings.prefix_worth)
         {
             return Some(owner.clone());
         }
@@ -345,6 +346,13 @@
         if busy { Refusal::Busy } else { Refusal::NoReplica }
     }
 
+    /// Requests of this node that the replica of a prefix may have in flight. All nodes send a
+    /// prefix to the same replica, and reports come too late to show what the others send.
+    fn prefix_bound(&self, group: &Group, window: usize) -> u32 {
+        let even = f64::from(group.own + 1) / window.max(1) as f64;
+        (even * (1.0 + self.settings.prefix_slack)).ceil() as u32
+    }
+
     /// The number of replicas at the front that the online load of all nodes needs.
     fn window(&self, now: Millis, group: &Group, open: &[Upstream]) -> usize {
         let Some(front) = open.first().and_then(|upstream| self.replicas.get(upstream)) else {
