--- a/bulrushspread/src/admit/handle.rs
+++ b/bulrushspread/src/admit/handle.rs
@@ -5,6 +5,7 @@
     sync::{Arc, Mutex, MutexGuard},
 };
 
+use cadence::CountedExt;
 use tokio::sync::{Notify, oneshot};
 
 use crate::{
@@ -54,12 +55,14 @@
             match inner.state.enter(context.clock.now(), ask, spec, slots) {
                 Decision::Admitted(ticket) => return Ok(permit(ticket)),
                 Decision::Refused(error) => {
+                    let _ = context.metrics.incr(&format!("admit.refused.{}", error.kind));
                     if error.kind == Kind::RateLimited {
                         self.pressed.notify_one();
                     }
                     return Err(error);
                 }
                 Decision::Queued(ticket) => {
+                    let _ = context.metrics.incr("admit.queued");
                     let (admit, waiter) = oneshot::channel();
                     inner.waiters.insert(ticket, admit);
                     (permit(ticket), waiter)
--- a/bulrushspread/src/attempt/drive.rs
+++ b/bulrushspread/src/attempt/drive.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use cadence::CountedExt;
 use futures_util::{StreamExt, future::OptionFuture};
 use tokio::sync::mpsc::Sender;
 
@@ -95,6 +96,7 @@
         };
         spread::tell(&self.context, news);
         if let Some(loss) = lost {
+            let _ = self.context.metrics.incr(counter(loss));
             self.release(loss);
         }
         let mut step = Step::Wait;
@@ -126,6 +128,7 @@
             Err(Refusal::NoReplica) => return Event::NoUpstream,
         };
         let upstream = lease.pick.upstream.clone();
+        let _ = self.context.metrics.incr("attempt.dispatched");
         let running = self.work.send(&self.context, lease.pick.address, &self.delivered);
         self.running = Some((attempt, lease, running));
         Event::Picked { upstream }
@@ -235,6 +238,7 @@
                 }
             }
             Err(error) => {
+                let _ = self.context.metrics.incr(&format!("attempt.ended.{}", error.kind));
                 self.running = None;
                 let send = self.out.send(Err(error));
                 let _ = tokio::time::timeout(LAST_WORD_TIMEOUT.duration(), send).await;
@@ -249,6 +253,15 @@
     Ended,
 }
 
+fn counter(loss: Loss) -> &'static str {
+    match loss {
+        Loss::NotSent => "attempt.lost.not_sent",
+        Loss::Refused => "attempt.lost.refused",
+        Loss::Broken => "attempt.lost.broken",
+        Loss::Died => "attempt.lost.died",
+    }
+}
+
 fn event(attempt: u32, progress: &Progress) -> Event {
     match progress {
         Progress::Event(event) => {
--- a/bulrushspread/src/attempt/work.rs
+++ b/bulrushspread/src/attempt/work.rs
@@ -10,6 +10,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
+    gateway::completions::DEADLINE_HEADER,
     node::Shared,
     telemetry::trace,
     time::Millis,
@@ -123,12 +124,14 @@
     let span = trace::hop("attempt.call", SpanKind::Client, &call.trace);
     let mut headers = call.headers.clone();
     trace::inject(&span, &mut headers);
+    let left = call.deadline - context.clock.now();
+    headers.insert(DEADLINE_HEADER, left.0.into());
     let request = Call {
         method: call.method.clone(),
         path: call.path.clone(),
         headers,
         body: call.body.clone(),
-        timeout: call.deadline - context.clock.now(),
+        timeout: left,
     };
     let upstreams = context.upstreams.clone();
     stream::once(async move { upstreams.call(address, request).await })
--- a/bulrushspread/src/gateway/completions.rs
+++ b/bulrushspread/src/gateway/completions.rs
@@ -24,7 +24,7 @@
 };
 
 /// The header that names how many milliseconds the caller waits for the answer.
-const DEADLINE_HEADER: &str = "x-deadline-ms";
+pub(crate) const DEADLINE_HEADER: &str = "x-deadline-ms";
 
 #[endpoint { method = POST, path = "/v1/chat/completions", unpublished = true }]
 pub(super) async fn create_chat_completion(
--- a/bulrushspread/src/gateway/mod.rs
+++ b/bulrushspread/src/gateway/mod.rs
@@ -4,7 +4,7 @@
 pub(crate) mod auth;
 mod batches;
 pub(crate) mod body;
-mod completions;
+pub(crate) mod completions;
 pub(crate) mod directory;
 mod files;
 mod models;
--- a/standins/tests/online_limits.rs
+++ b/standins/tests/online_limits.rs
@@ -2,11 +2,13 @@
 
 use std::time::{Duration, Instant};
 
+use futures_util::StreamExt;
 use http::{Method, StatusCode};
 use serde_json::{Value, json};
 use standins::{
     client::{Answer, Call},
     fleet::{Fleet, Plan, Program, WORKSPACE},
+    wait::wait_until,
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -80,7 +82,6 @@
     let mut fleet = start(plan()).await;
     let caller = fleet.caller(0);
     let stream = tokio::spawn(async move {
-        use futures_util::StreamExt;
         let events = caller.open_stream("a long story", 400).await.expect("a stream");
         let events: Vec<_> = events.collect().await;
         events.into_iter().filter_map(Result::ok).collect::<Vec<Value>>()
@@ -96,6 +97,27 @@
     assert_eq!(last["not_run"], json!(false));
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_who_leaves_frees_its_engine() {
+    let fleet = start(plan()).await;
+    let mut stream =
+        Box::pin(fleet.caller(0).open_stream("a long story", 2_000).await.expect("a stream"));
+    stream.next().await.expect("an event").expect("an event");
+    drop(stream);
+    wait_until("no engine runs the stream", Duration::from_secs(5), || async {
+        for engine in &fleet.engines {
+            let state = engine.standin.state().await.ok()?;
+            let mut runs = state["counts"]["streams"].as_object()?.values();
+            if runs.any(|run| run["cancelled"] == json!(1)) {
+                return Some(());
+            }
+        }
+        None
+    })
+    .await
+    .expect("cancelled");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_body_that_arrives_too_slowly_is_refused() {
     let mut plan = plan();
