fix(batch): nothing stays behind in the runner; experiment with a burst rate

Cause: found in review: a start whose replica had just left the fleet stayed "running" until its time limit; a cancelled call to a plain service sent it a `DELETE` meant for engines; a refused item kept a draining node waiting; an item that an engine answers with 500 was run six times per attempt. Change: such a start ends as not run; only engines get the cancel of a stream; a draining node gives back whatever waits; a broken stream is resumed only if it came further, else it is a failed attempt.

--- a/bulrushspread/src/batch/runner/ending.rs
+++ b/bulrushspread/src/batch/runner/ending.rs
@@ -17,8 +17,8 @@
 const TELL_INTERVAL: Millis = Millis(1_000);
 /// Wait before a run that was refused or broken off starts again.
 const RETRY_WAIT: Millis = Millis(500);
-/// Refused or broken starts after which the item goes back to its owner.
-const RETRY_LIMIT: u32 = 5;
+/// Refused starts after which the item goes back to its owner.
+const REFUSAL_LIMIT: u32 = 5;
 
 impl State {
     pub(super) fn ended(&mut self, now: Millis, start: &Start, fate: Fate) {
@@ -142,19 +142,20 @@
         Fate::Invalid { reason } => {
             run.end(End::Answered { status: 400, body: request::refusal(&reason) });
         }
-        Fate::NotRun { .. } => retry(now, run, End::Returned),
+        Fate::NotRun { .. } => refuse(now, run),
         Fate::Broken { reason } if !run.work.idempotent => run.end(End::Unknown { reason }),
-        Fate::Broken { reason } if target == Some(Target::Engine) => {
-            retry(now, run, End::Failed { reason });
+        // A stream that has come further is resumed; one that breaks at once is the item's fault.
+        Fate::Broken { .. } if target == Some(Target::Engine) && run.text.len() > run.from => {
+            run.pause(now, RETRY_WAIT);
         }
         Fate::Broken { reason } | Fate::Died { reason } => run.end(End::Failed { reason }),
     }
 }
 
-fn retry(now: Millis, run: &mut Run, last: End) {
-    run.retries += 1;
-    if run.retries > RETRY_LIMIT {
-        return run.end(last);
+fn refuse(now: Millis, run: &mut Run) {
+    run.refusals += 1;
+    if run.refusals > REFUSAL_LIMIT {
+        return run.end(End::Returned);
     }
     run.pause(now, RETRY_WAIT);
 }
--- a/bulrushspread/src/batch/runner/execute.rs
+++ b/bulrushspread/src/batch/runner/execute.rs
@@ -37,13 +37,14 @@
 pub(crate) async fn run(
     context: Shared,
     start: Start,
-    address: SocketAddr,
+    address: Option<SocketAddr>,
     work: Work,
     text: Vec<String>,
 ) {
-    let fate = match &work.model {
-        Some(_) => stream(&context, &start, address, &work, text).await,
-        None => call(&context, address, &work).await,
+    let fate = match (address, &work.model) {
+        (Some(address), Some(_)) => stream(&context, &start, address, &work, text).await,
+        (Some(address), None) => call(&context, address, &work).await,
+        (None, _) => Fate::NotRun { reason: "the replica has left".to_string() },
     };
     context.batch.runner.edge.starts.lock().unwrap().remove(&start);
     task::feed(&context, Event::Ended { start, fate });
--- a/bulrushspread/src/batch/runner/run.rs
+++ b/bulrushspread/src/batch/runner/run.rs
@@ -24,8 +24,10 @@
     pub ran: Millis,
     /// The item was running on an upstream that died with others beside it.
     pub suspect: bool,
-    /// Starts that were refused or broken off.
-    pub retries: u32,
+    /// The position of the current start.
+    pub from: usize,
+    /// Starts that the upstream did not run.
+    pub refusals: u32,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -58,7 +60,8 @@
             starts: 0,
             ran: Millis(0),
             suspect: false,
-            retries: 0,
+            from: 0,
+            refusals: 0,
         }
     }
 
--- a/bulrushspread/src/batch/runner/schedule.rs
+++ b/bulrushspread/src/batch/runner/schedule.rs
@@ -131,6 +131,7 @@
         let Some(run) = self.runs.get_mut(ticket) else { return };
         let Some(replica) = self.replicas.get_mut(&upstream) else { return };
         run.starts += 1;
+        run.from = run.text.len();
         run.phase = Phase::Running { upstream: upstream.clone(), since: now };
         let start = run.start();
         replica.started(now, start.clone());
--- a/bulrushspread/src/batch/runner/state.rs
+++ b/bulrushspread/src/batch/runner/state.rs
@@ -231,6 +231,9 @@
     fn tick(&mut self, now: Millis, actions: &mut Vec<Action>) {
         self.stopped.retain(|_, since| now - *since < STOPPED_TTL);
         self.end_overdue(now, actions);
+        if self.draining {
+            self.return_waiting();
+        }
         self.tell(now, actions);
         self.hold(now, actions);
     }
@@ -241,11 +244,15 @@
         for upstream in upstreams {
             self.clear(now, &upstream, actions);
         }
+        self.return_waiting();
+        self.tell(now, actions);
+    }
+
+    fn return_waiting(&mut self) {
         for run in self.runs.values_mut() {
             if matches!(run.phase, Phase::Waiting { .. }) {
                 run.end(End::Returned);
             }
         }
-        self.tell(now, actions);
     }
 }
--- a/bulrushspread/src/batch/runner/task.rs
+++ b/bulrushspread/src/batch/runner/task.rs
@@ -15,8 +15,8 @@
 use super::{
     execute,
     fleet::Fleet,
-    handle::Online,
-    message::{Action, Count, Event, Start},
+    handle::{Edge, Online},
+    message::{Action, Count, Event, Start, Target},
     state::State,
     supply,
 };
@@ -121,7 +121,7 @@
     match action {
         Action::Start { start, upstream, work, text } => {
             let _ = context.metrics.incr("batch.starts");
-            let Some(address) = address(&upstream) else { return };
+            let address = address(&upstream);
             let run = execute::run(context.clone(), start.clone(), address, work, text);
             // The lock is taken before the spawn: the task removes its entry when it ends.
             let mut starts = edge.starts.lock().unwrap();
@@ -130,7 +130,8 @@
         Action::Cancel { start, upstream } => {
             let _ = context.metrics.incr("batch.cancels");
             let age = abort(context, now, &start);
-            let address = address(&upstream);
+            // Calls to plain services end with their connection.
+            let address = address(&upstream).filter(|_| is_engine(edge, &upstream));
             tokio::spawn(execute::cancel(context.clone(), start, upstream, address, age));
         }
         Action::Pull { room, holding } => {
@@ -149,6 +150,11 @@
     }
 }
 
+fn is_engine(edge: &Edge, upstream: &Upstream) -> bool {
+    let fleet = edge.fleet.lock().unwrap();
+    fleet.own.get(upstream).is_none_or(|spec| spec.target == Target::Engine)
+}
+
 fn abort(context: &Shared, now: Millis, start: &Start) -> Millis {
     let started = context.batch.runner.edge.starts.lock().unwrap().remove(start);
     let Some((task, started)) = started else { return Millis(0) };
--- a/standins/src/bin/experiment.rs
+++ b/standins/src/bin/experiment.rs
@@ -28,6 +28,9 @@
         /// Replicas of the fleet.
         #[bpaf(argument("N"), fallback(10))]
         replicas: usize,
+        /// Online requests a second in a burst.
+        #[bpaf(argument("RATE"), fallback(150.0))]
+        burst_rate: f64,
         /// File for an SVG plot of harm against batch share.
         #[bpaf(argument("FILE"), optional)]
         plot: Option<PathBuf>,
@@ -55,10 +58,10 @@
 }
 
 fn execute(command: Command) -> anyhow::Result<()> {
-    let Command::Harm { seed, seconds, nodes, replicas, plot, json, only } = command;
+    let Command::Harm { seed, seconds, nodes, replicas, burst_rate, plot, json, only } = command;
     let span = Duration::from_secs(seconds);
     let program = Program::current()?;
-    let options = Harm { program, seed, span, nodes, replicas, plot, only };
+    let options = Harm { program, seed, span, nodes, replicas, burst_rate, plot, only };
     let report = tokio::runtime::Runtime::new()?.block_on(experiment::harm(options))?;
     match json {
         true => println!("{}", serde_json::to_string(&report)?),
--- a/standins/src/experiment/mod.rs
+++ b/standins/src/experiment/mod.rs
@@ -32,6 +32,8 @@
     pub span: Duration,
     pub nodes: usize,
     pub replicas: usize,
+    /// Online requests a second in a burst.
+    pub burst_rate: f64,
     /// Where the plot goes.
     pub plot: Option<PathBuf>,
     /// Policies to run beside the two reference trials; all where empty.
@@ -40,7 +42,7 @@
 
 /// Runs every policy on the same arrivals, one after the other.
 pub async fn harm(options: Harm) -> Result<Report> {
-    let workload = workload::Workload::new(options.seed, options.span);
+    let workload = workload::Workload::new(options.seed, options.span, options.burst_rate);
     let online = trial::run(&options, &workload, policy::Policy::OnlineAlone).await?;
     let batch = trial::run(&options, &workload, policy::Policy::BatchAlone).await?;
     let mut report = Report::new(&options, &online, &batch);
--- a/standins/src/experiment/policy.rs
+++ b/standins/src/experiment/policy.rs
@@ -44,10 +44,10 @@
 /// All policies with their settings, without the two references.
 pub(super) fn all(replicas: usize) -> Vec<Policy> {
     let managed = |margin, hold_ms, hold_limit_ms| {
-        Policy::Managed(Managed { margin, hold_ms, hold_limit_ms, streams: STREAMS, prefills: 2 })
+        Policy::Managed(Managed { margin, hold_ms, hold_limit_ms, streams: STREAMS, prefills: 1 })
     };
     let reserved = [1, 2, 3, replicas / 2];
-    let mut policies = vec![managed(0, 100, 100), managed(1, 250, 2_000), managed(2, 500, 4_000)];
+    let mut policies = vec![managed(0, 100, 100), managed(1, 250, 1_000), managed(2, 500, 2_000)];
     policies.extend(reserved.map(|replicas| Policy::Reserved { replicas }));
     policies.extend([2, 8, STREAMS].map(|streams| Policy::Unmanaged { streams }));
     policies
--- a/standins/src/experiment/report.rs
+++ b/standins/src/experiment/report.rs
@@ -17,6 +17,8 @@
     pub seconds: u64,
     pub nodes: usize,
     pub replicas: usize,
+    /// Online requests a second in a burst.
+    pub burst_rate: f64,
     pub trials: Vec<Row>,
 }
 
@@ -48,6 +50,7 @@
             seconds: options.span.as_secs(),
             nodes: options.nodes,
             replicas: options.replicas,
+            burst_rate: options.burst_rate,
             trials: Vec::new(),
         };
         report.trials.push(row(&Policy::OnlineAlone, online));
@@ -97,8 +100,8 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             f,
-            "seed {}, {} s a trial, {} nodes, {} replicas",
-            self.seed, self.seconds, self.nodes, self.replicas
+            "seed {}, {} s a trial, {} nodes, {} replicas, {} requests/s in bursts",
+            self.seed, self.seconds, self.nodes, self.replicas, self.burst_rate
         )?;
         writeln!(
             f,
--- a/standins/src/experiment/workload.rs
+++ b/standins/src/experiment/workload.rs
@@ -5,10 +5,8 @@
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use serde_json::json;
 
-/// Requests a second in a burst.
-const BURST_RATE: f64 = 60.0;
-/// Requests a second between bursts.
-const LULL_RATE: f64 = 4.0;
+/// The rate of requests in a burst against the rate between bursts.
+const BURST_FACTOR: f64 = 15.0;
 /// Bounds of the length of a burst.
 const BURST: (Duration, Duration) = (Duration::from_millis(1_000), Duration::from_millis(3_000));
 /// Bounds of the time between two bursts.
@@ -39,7 +37,7 @@
 }
 
 impl Workload {
-    pub(super) fn new(seed: u64, span: Duration) -> Workload {
+    pub(super) fn new(seed: u64, span: Duration, burst_rate: f64) -> Workload {
         let mut rng = SmallRng::seed_from_u64(seed);
         let mut arrivals = Vec::new();
         let mut phase_end = between(&mut rng, LULL);
@@ -50,7 +48,7 @@
                 burst = !burst;
                 phase_end = at + between(&mut rng, if burst { BURST } else { LULL });
             }
-            let rate = if burst { BURST_RATE } else { LULL_RATE };
+            let rate = if burst { burst_rate } else { burst_rate / BURST_FACTOR };
             let gap = -rng.random_range(f64::MIN_POSITIVE..1.0).ln() / rate;
             let next = at + Duration::from_secs_f64(gap);
             // A gap that reaches into the next phase is drawn anew there.
