feat(peer): new keys are used without a restart

Cause: keys were loaded once. Ruled out: the endpoint's own default client settings, which belong to one copy of its handle.

--- a/bulrushspread/src/node.rs
+++ b/bulrushspread/src/node.rs
@@ -15,7 +15,7 @@
     journal, membership,
     metrics::{self, Metrics},
     operator,
-    peer::{Message, Transport, message::Envelope, transport::Handler},
+    peer::{Message, Transport, message::Envelope, rotation, transport::Handler},
     placement, route,
     settings::Settings,
     telemetry::trace,
@@ -80,6 +80,7 @@
     let peer = context.peer.clone();
     let dispatch = Arc::new(Dispatch(context.clone()));
     tokio::spawn(async move { peer.serve(dispatch).await });
+    tokio::spawn(rotation::follow(context.settings.peer.clone(), context.peer.clone()));
     start(&context).await?;
     context.phase.send_replace(Phase::Serving);
     println!("{}", serde_json::to_string(&ready(&context)?)?);
--- a/bulrushspread/src/peer/mod.rs
+++ b/bulrushspread/src/peer/mod.rs
@@ -2,6 +2,7 @@
 
 mod links;
 pub mod message;
+pub(crate) mod rotation;
 pub mod settings;
 pub mod traffic;
 pub mod transport;
--- a/bulrushspread/src/peer/transport.rs
+++ b/bulrushspread/src/peer/transport.rs
@@ -1,6 +1,11 @@
 //! QUIC connections between nodes: datagrams that may be lost, and requests that are answered.
 
-use std::{fs, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    fs,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use anyhow::{Context, anyhow, bail};
 use async_trait::async_trait;
@@ -51,6 +56,8 @@
     vm: Vm,
     incarnation: Incarnation,
     endpoint: Endpoint,
+    /// The keys of connections that this node opens.
+    client: Mutex<ClientConfig>,
     timeout: Duration,
     links: Links,
     traffic: Traffic,
@@ -60,13 +67,13 @@
     /// Binds the UDP socket and loads the keys.
     pub fn bind(settings: &Settings, vm: Vm, incarnation: Incarnation) -> Result<Transport> {
         let (server, client) = load_keys(settings)?;
-        let mut endpoint = Endpoint::server(server, settings.listen)
+        let endpoint = Endpoint::server(server, settings.listen)
             .with_context(|| format!("can't listen on {}", settings.listen))?;
-        endpoint.set_default_client_config(client);
         Ok(Transport {
             vm,
             incarnation,
             endpoint,
+            client: Mutex::new(client),
             timeout: Duration::from_millis(settings.timeout_ms),
             links: Links::default(),
             traffic: Traffic::default(),
@@ -82,8 +89,7 @@
     pub fn reload_keys(&self, settings: &Settings) -> Result<()> {
         let (server, client) = load_keys(settings)?;
         self.endpoint.set_server_config(Some(server));
-        let mut endpoint = self.endpoint.clone();
-        endpoint.set_default_client_config(client);
+        *self.client.lock().unwrap() = client;
         self.links.clear();
         Ok(())
     }
@@ -147,17 +153,22 @@
     }
 
     async fn connection(&self, to: SocketAddr) -> Result<Connection> {
-        let connect = || connect(self.endpoint.clone(), to, self.traffic.clone()).boxed();
+        let connect = || {
+            let client = self.client.lock().unwrap().clone();
+            connect(self.endpoint.clone(), client, to, self.traffic.clone()).boxed()
+        };
         self.links.get(to, connect).await.map_err(|reason| anyhow!(reason))
     }
 }
 
 async fn connect(
     endpoint: Endpoint,
+    client: ClientConfig,
     to: SocketAddr,
     traffic: Traffic,
 ) -> links::Result<Connection> {
-    let connecting = endpoint.connect(to, CERTIFICATE_NAME).map_err(|error| error.to_string())?;
+    let connecting =
+        endpoint.connect_with(client, to, CERTIFICATE_NAME).map_err(|error| error.to_string())?;
     let connection = tokio::time::timeout(CONNECT_TIMEOUT, connecting)
         .await
         .map_err(|_| format!("{to} did not accept a connection in {CONNECT_TIMEOUT:?}"))?
