--- a/bulrushspread/src/route/settings.rs
+++ b/bulrushspread/src/route/settings.rs
@@ -38,7 +38,7 @@
             report_decay_ms: 1_500,
             fill: 0.75,
             data_centre_cost: 0.15,
-            prefix_worth: 0.1,
+            prefix_worth: 0.25,
             prefix_slack: 0.25,
             slow_start_ms: 10_000,
             eject_failures: 3,
--- a/bulrushspread/src/route/state.rs
+++ b/bulrushspread/src/route/state.rs
@@ -313,9 +313,11 @@
         let second = draw(&mut self.rng, &open[..window], allowed);
         let better = first.into_iter().chain(second).min_by(|a, b| cost(a).total_cmp(&cost(b)));
         let owner = want.prefix.map(|prefix| &open[jump(prefix, window)]);
-        let bound = self.prefix_bound(group, window);
-        if let Some(owner) = owner.filter(|owner| allowed(owner) && self.in_flight(owner) < bound)
-            && better.is_none_or(|better| cost(owner) <= cost(better) + self.settings.prefix_worth)
+        let below_bound = |owner: &Upstream| {
+            f64::from(self.in_flight(owner)) < self.prefix_bound(group, window, owner)
+        };
+        if let Some(owner) = owner.filter(|owner| allowed(owner) && below_bound(owner))
+            && better.is_none_or(|better| cost(owner) <= cost(better) + self.prefix_worth(owner))
         {
             return Some(owner.clone());
         }
@@ -346,11 +348,20 @@
         if busy { Refusal::Busy } else { Refusal::NoReplica }
     }
 
+    /// The cost that a cached prefix saves. It is not worth a way to another data centre.
+    fn prefix_worth(&self, owner: &Upstream) -> f64 {
+        let near = self.replicas.get(owner).is_some_and(|replica| replica.data_centre == self.home);
+        let distance = if near { 0.0 } else { self.settings.data_centre_cost };
+        self.settings.prefix_worth - distance
+    }
+
     /// Requests of this node that the replica of a prefix may have in flight. All nodes send a
     /// prefix to the same replica, and reports come too late to show what the others send.
-    fn prefix_bound(&self, group: &Group, window: usize) -> u32 {
+    fn prefix_bound(&self, group: &Group, window: usize, owner: &Upstream) -> f64 {
         let even = f64::from(group.own + 1) / window.max(1) as f64;
-        (even * (1.0 + self.settings.prefix_slack)).ceil() as u32
+        let slots = self.replicas.get(owner).map_or(0, Replica::offered);
+        let part = f64::from(slots) * self.settings.fill / self.nodes as f64;
+        (even * (1.0 + self.settings.prefix_slack)).ceil().max(part)
     }
 
     /// The number of replicas at the front that the online load of all nodes needs.
