feat(batch): one prefill at a time and a shorter hold by default

Cause: a batch prefill in progress is the longest step that an online request can meet, and a hold of up to 4 s outlasts most lulls. Change: defaults `prefills` 1 (was 2) and `hold_limit_ms` 2000 (was 4000).

--- a/bulrushspread/src/batch/runner/settings.rs
+++ b/bulrushspread/src/batch/runner/settings.rs
@@ -44,10 +44,10 @@
         Settings {
             policy: Policy::Managed,
             streams: 16,
-            prefills: 2,
+            prefills: 1,
             margin: 2,
             hold_ms: 500,
-            hold_limit_ms: 4_000,
+            hold_limit_ms: 2_000,
             ahead: 2,
             item_ms: 120_000,
             pause_ms: 30_000,
