feat(batch): refuse jobs that would outlive their records in the log; join doubled logic

Cause: results and input files are not re-appended, so a job whose window and retention exceed the log's retention would lose what it had acknowledged. The description of a problem, the check of a digest and the mapping of the library's errors each stood twice. Ruled out: a longer default for the log's retention, which is the platform's to say. Change: such jobs are refused with the longest window; a settings file whose results would outlive the log is refused; bulrushctl asks for 8h. One Problem, one Detail, one mapping of library errors.

--- a/bulrushctl/src/arguments.rs
+++ b/bulrushctl/src/arguments.rs
@@ -155,8 +155,8 @@
         /// The path of every item.
         #[bpaf(long, argument("PATH"), fallback("/v1/chat/completions".to_string()))]
         endpoint: String,
-        /// Time until the job is due, such as 24h, 90m or 30s.
-        #[bpaf(long, argument("SPAN"), fallback("24h".to_string()))]
+        /// Time until the job is due, such as 8h, 90m or 30s.
+        #[bpaf(long, argument("SPAN"), fallback("8h".to_string()))]
         window: String,
         /// Names the job, so that submitting it again creates no second one.
         #[bpaf(long, argument("KEY"), optional)]
--- a/bulrushspread/src/batch/api.rs
+++ b/bulrushspread/src/batch/api.rs
@@ -24,6 +24,7 @@
         jobs_stream, lane_stream,
     },
     results,
+    retention::{self, Span},
     upload::{Chunk, Cutter, Summary},
     view::{Counts, Create, FileView, JobView},
 };
@@ -79,6 +80,12 @@
     if let Some(earlier) = key.and_then(|key| by_key(context, workspace, key)) {
         return same(&earlier, &digest);
     }
+    retention::check(Span {
+        window,
+        file_age: context.clock.wall() - file.created.created_at,
+        results: Millis(context.settings.batch.retention_ms),
+        log: Millis(context.settings.journal.retention_ms),
+    })?;
     let created = job_created(context, workspace, key, create, window, digest.clone(), &file);
     let job = created.job.clone();
     append_job(context, &Jobs::JobCreated(created)).await?;
--- a/bulrushspread/src/batch/mod.rs
+++ b/bulrushspread/src/batch/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) mod present;
 pub mod record;
 pub(crate) mod results;
+pub mod retention;
 pub mod runner;
 pub mod settings;
 pub(crate) mod task;
--- a/bulrushspread/src/config/check.rs
+++ b/bulrushspread/src/config/check.rs
@@ -1,28 +1,14 @@
 //! Checks of one piece, made before it is published, and the names that it claims.
 
-use std::{collections::BTreeSet, fmt};
+use std::collections::BTreeSet;
 
-use crate::id::{Deployment, Model, Workspace};
+use crate::{
+    id::{Deployment, Model, Workspace},
+    problem::{DIGEST_DIGITS, Problem, is_digest},
+};
 
 use super::document::{DeploymentSpec, Piece, ServiceSpec, WorkspaceSpec};
 
-/// Hexadecimal digits of a SHA-256 digest.
-const DIGEST_DIGITS: usize = 64;
-
-/// A rule that a piece breaks, and where.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Problem {
-    /// The path of the key, such as `workspaces.depot.concurrency`.
-    pub path: String,
-    pub message: String,
-}
-
-impl fmt::Display for Problem {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: {}", self.path, self.message)
-    }
-}
-
 /// The names and keys that only one team of an environment may declare.
 ///
 /// Deployments and plain services share one space of names, because upstreams are listed by name.
@@ -107,8 +93,7 @@
 ) {
     let path = format!("workspaces.{name}");
     for digest in &spec.key_digests {
-        let digits = digest.bytes().all(|byte| byte.is_ascii_hexdigit());
-        if digest.len() != DIGEST_DIGITS || !digits {
+        if !is_digest(digest) {
             let message =
                 format!("{digest:?} is not a SHA-256 digest of {DIGEST_DIGITS} hex digits");
             problems.push(problem(format!("{path}.key_digests"), message));
--- a/bulrushspread/src/error.rs
+++ b/bulrushspread/src/error.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 
 use http::StatusCode;
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
 use crate::time::Millis;
@@ -171,7 +172,8 @@
     pub not_run: bool,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// What a refusal says of its error.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 pub struct Detail {
     pub message: String,
     #[serde(rename = "type")]
--- a/bulrushspread/src/lib.rs
+++ b/bulrushspread/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod operator;
 pub mod peer;
 pub mod placement;
+pub mod problem;
 pub mod rendezvous;
 pub mod route;
 pub mod settings;
--- a/bulrushspread/src/operator/refusal.rs
+++ b/bulrushspread/src/operator/refusal.rs
@@ -8,7 +8,8 @@
 
 use crate::{
     config::{publish::Failure, state::Winner},
-    error::{Again, Error, Kind, Ran},
+    error::{Detail, Error, Kind},
+    gateway::answer::library_error,
 };
 
 pub type Result<T, E = Refusal> = std::result::Result<T, E>;
@@ -26,27 +27,13 @@
     status: u16,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
-pub struct Detail {
-    pub message: String,
-    #[serde(rename = "type")]
-    pub kind: String,
-    pub code: String,
-    pub retryable: bool,
-}
-
 impl From<Error> for Refusal {
     fn from(error: Error) -> Refusal {
         let row = error.kind.row();
         let body = error.body();
         Refusal {
-            error: Detail {
-                message: body.error.message,
-                kind: body.error.kind,
-                code: body.error.code,
-                retryable: row.again == Again::Retryable,
-            },
-            not_run: row.ran == Ran::NotRun,
+            error: body.error,
+            not_run: body.not_run,
             winner: None,
             status: row.status.as_u16(),
         }
@@ -72,13 +59,7 @@
 impl From<HttpError> for Refusal {
     fn from(error: HttpError) -> Refusal {
         let status = error.status_code.as_u16();
-        let kind = match status {
-            404 | 405 => Kind::NotFound,
-            413 => Kind::TooLarge,
-            400..500 => Kind::BadRequest,
-            _ => Kind::Internal,
-        };
-        Refusal { status, ..Refusal::from(Error::new(kind, error.external_message)) }
+        Refusal { status, ..Refusal::from(library_error(&error)) }
     }
 }
 
--- a/bulrushspread/src/settings/check.rs
+++ b/bulrushspread/src/settings/check.rs
@@ -2,10 +2,9 @@
 
 use std::net::SocketAddr;
 
-use super::{Problem, Settings};
+use crate::problem::{DIGEST_DIGITS, Problem, is_digest};
 
-/// Hexadecimal digits of a SHA-256 digest.
-const DIGEST_DIGITS: usize = 64;
+use super::Settings;
 
 /// Finds every problem of settings that parsed.
 pub(super) fn check(settings: &Settings) -> Vec<Problem> {
@@ -15,6 +14,7 @@
     check_listeners(settings, &mut problems);
     check_peer(settings, &mut problems);
     check_tokens(settings, &mut problems);
+    check_retention(settings, &mut problems);
     check_telemetry(settings, &mut problems);
     problems
 }
@@ -88,14 +88,22 @@
         push(problems, "operator.token_digests", "is empty; give at least one SHA-256 digest");
     }
     for (index, digest) in digests.iter().enumerate() {
-        let hexadecimal = digest.chars().all(|digit| digit.is_ascii_hexdigit());
-        if digest.len() != DIGEST_DIGITS || !hexadecimal {
+        if !is_digest(digest) {
             let message = format!("is not a SHA-256 digest of {DIGEST_DIGITS} hexadecimal digits");
             push(problems, &format!("operator.token_digests[{index}]"), message);
         }
     }
 }
 
+fn check_retention(settings: &Settings, problems: &mut Vec<Problem>) {
+    let log = settings.journal.retention_ms;
+    let results = settings.batch.retention_ms;
+    if results >= log {
+        let message = format!("{results} is not below journal.retention_ms, which is {log}");
+        push(problems, "batch.retention_ms", message);
+    }
+}
+
 fn check_telemetry(settings: &Settings, problems: &mut Vec<Problem>) {
     let telemetry = &settings.telemetry;
     if let Err(error) = env_filter::Builder::new().try_parse(&telemetry.log) {
--- a/bulrushspread/src/settings/mod.rs
+++ b/bulrushspread/src/settings/mod.rs
@@ -11,26 +11,13 @@
 use crate::{
     admit, attempt, batch, config, gateway,
     id::{DataCentre, Environment, Vm},
-    journal, membership, operator, peer, placement, route, telemetry,
+    journal, membership, operator, peer, placement,
+    problem::Problem,
+    route, telemetry,
 };
 
 pub type Result<T> = std::result::Result<T, Error>;
 
-/// One thing that is wrong with a settings file.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Problem {
-    /// The path of the key, such as `peer.listen`.
-    pub path: String,
-    /// What is wrong and what would be valid.
-    pub message: String,
-}
-
-impl fmt::Display for Problem {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: {}", self.path, self.message)
-    }
-}
-
 /// All that is wrong with a settings file. Never empty.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub struct Error {
--- a/bulrushspread/tests/settings.rs
+++ b/bulrushspread/tests/settings.rs
@@ -50,6 +50,7 @@
         ("/telemetry", json!({ "log": "loud=very" })),
         ("/telemetry", json!({ "otlp": "collector" })),
         ("/vm", json!("entry 1")),
+        ("/batch", json!({ "retention_ms": 90_000_000 })),
     ];
     let lines: Vec<String> = cases
         .into_iter()
