--- a/bulrushspread/tests/batch_lane.rs
+++ b/bulrushspread/tests/batch_lane/main.rs
@@ -1,5 +1,7 @@
 //! Nodes that own one lane in turn, over a log that loses answers and acts late.
 
+mod step;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use bulrushspread::{
@@ -17,102 +19,12 @@
 };
 use proptest::{prelude::*, test_runner::RngSeed};
 
+use step::{Fate, Step, step};
+
 const NODES: [&str; 3] = ["entry-1", "entry-2", "entry-3"];
 const JOBS: [(&str, u32, bool); 3] =
     [("route-notes", 6, true), ("offers", 4, false), ("z", 3, true)];
 
-/// What becomes of an append.
-#[derive(Clone, Copy, Debug)]
-enum Fate {
-    Stands,
-    LosesAnswer,
-    Refused,
-    ActsLate,
-}
-
-#[derive(Clone, Debug)]
-enum Step {
-    Read {
-        node: usize,
-        records: usize,
-    },
-    Members {
-        node: usize,
-        chosen: usize,
-        live: [bool; 3],
-    },
-    /// The node alone believes that it should own the lane, and claims it.
-    Takeover {
-        node: usize,
-    },
-    Append {
-        node: usize,
-        fate: Fate,
-    },
-    Flush {
-        node: usize,
-        fate: Fate,
-    },
-    Pull {
-        node: usize,
-        runner: usize,
-        fate: Fate,
-    },
-    HandOut {
-        node: usize,
-    },
-    End {
-        run: usize,
-        node: usize,
-        end: End,
-    },
-    LoseRunner {
-        runner: usize,
-    },
-    Cancel {
-        job: usize,
-    },
-    Land,
-    Wait(u64),
-}
-
-fn step() -> impl Strategy<Value = Step> {
-    let fate = || {
-        prop_oneof![
-            5 => Just(Fate::Stands),
-            1 => Just(Fate::LosesAnswer),
-            1 => Just(Fate::Refused),
-            1 => Just(Fate::ActsLate),
-        ]
-    };
-    let reason = || "reason".to_string();
-    let end = prop_oneof![
-        4 => Just(End::Answered { status: 200, body: "{}".to_string() }),
-        1 => Just(End::Answered { status: 400, body: "{}".to_string() }),
-        1 => Just(End::Failed { reason: reason() }),
-        1 => Just(End::Crashed { reason: reason() }),
-        1 => Just(End::Unknown { reason: reason() }),
-        1 => Just(End::Returned),
-    ];
-    let node = 0..3usize;
-    prop_oneof![
-        6 => (node.clone(), 1..6usize).prop_map(|(node, records)| Step::Read { node, records }),
-        2 => (node.clone(), 0..3usize, any::<[bool; 3]>())
-            .prop_map(|(node, chosen, live)| Step::Members { node, chosen, live }),
-        2 => node.clone().prop_map(|node| Step::Takeover { node }),
-        4 => (node.clone(), fate()).prop_map(|(node, fate)| Step::Append { node, fate }),
-        3 => (node.clone(), fate()).prop_map(|(node, fate)| Step::Flush { node, fate }),
-        4 => (node.clone(), 0..2usize, fate())
-            .prop_map(|(node, runner, fate)| Step::Pull { node, runner, fate }),
-        3 => node.clone().prop_map(|node| Step::HandOut { node }),
-        5 => (0..8usize, node, end).prop_map(|(run, node, end)| Step::End { run, node, end }),
-        1 => (0..2usize).prop_map(|runner| Step::LoseRunner { runner }),
-        1 => (0..3usize).prop_map(|job| Step::Cancel { job }),
-        1 => Just(Step::Land),
-        3 => (1..300u64).prop_map(Step::Wait),
-    ]
-}
-
 struct Node {
     state: State,
     /// Records read so far.
