feat(serving): requests of the users' platform travel from caller to upstream and back

Cause: the product had no path for opaque requests, and nothing that speaks the platform's protocol. A crate `serving` holds the paths that every interface can share (routes, fleet, choice of the upstream, exchange with resumed streams, log store, logs, metrics); `platform` translates. Ids, times and the quarantine move there from `bulrushspread`, which re-exports them. Considered: the same slices inside `bulrushspread`; its dependencies (dropshot, quinn, OpenTelemetry) would be built for the platform's program, which uses none of them. Batch jobs are refused.

--- a/bulrushspread/src/attempt/mod.rs
+++ b/bulrushspread/src/attempt/mod.rs
@@ -15,7 +15,7 @@
 pub mod intent;
 mod intents;
 pub mod message;
-pub mod quarantine;
+pub use serving::quarantine;
 pub mod request;
 pub mod settings;
 mod spread;
--- a/bulrushspread/src/lib.rs
+++ b/bulrushspread/src/lib.rs
@@ -4,13 +4,14 @@
 //! settings. The decisions of a slice are synchronous state machines; `task` modules feed them
 //! and carry out what they decide.
 
+pub use serving::{id, time};
+
 pub mod admit;
 pub mod attempt;
 pub mod batch;
 pub mod config;
 pub mod error;
 pub mod gateway;
-pub mod id;
 pub mod journal;
 pub mod membership;
 pub mod metrics;
@@ -23,7 +24,6 @@
 pub mod route;
 pub mod settings;
 pub mod telemetry;
-pub mod time;
 pub mod upstream;
 pub mod vms;
 mod web;
--- /dev/null
+++ b/serving/src/balance/settings.rs
@@ -0,0 +1,44 @@
+//! Settings of the balance slice.
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// How upstreams are chosen and when requests are refused.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Settings {
+    /// Requests in flight that an upstream of another data centre must be ahead by.
+    pub data_centre_bias: f64,
+    /// Online requests that may wait at an upstream beyond its slots.
+    pub queue_per_upstream: u32,
+    /// Slots of an upstream that batch items leave free.
+    pub batch_reserve: u32,
+    /// Milliseconds for which an upstream that refused a request counts as full.
+    pub full_ms: u64,
+    /// Milliseconds of the first ejection of an upstream that failed; doubles with each further one.
+    pub eject_ms: u64,
+    /// Milliseconds that an ejection lasts at most.
+    pub eject_max_ms: u64,
+    /// Milliseconds after which the load that another node told of no longer counts.
+    pub load_expiry_ms: u64,
+    /// Milliseconds after which refused callers come back at the earliest.
+    pub retry_after_ms: u64,
+    /// Milliseconds over which the return of refused callers is spread.
+    pub retry_spread_ms: u64,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            data_centre_bias: 2.0,
+            queue_per_upstream: 2,
+            batch_reserve: 1,
+            full_ms: 60,
+            eject_ms: 250,
+            eject_max_ms: 2_000,
+            load_expiry_ms: 1_000,
+            retry_after_ms: 200,
+            retry_spread_ms: 800,
+        }
+    }
+}
--- a/bulrushspread/src/id.rs
+++ b/serving/src/id.rs
@@ -76,6 +76,8 @@
     Team;
     /// An environment, such as `trial` or `production`.
     Environment;
+    /// A route of the configuration.
+    Route;
     /// A batch job.
     Job;
     /// An uploaded file or a file of results.
--- /dev/null
+++ b/serving/src/node.rs
@@ -0,0 +1,178 @@
+//! Composition of a node: what its slices share and what feeds them.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+use crate::{
+    balance, catalog,
+    catalog::{Catalog, Kind, Route},
+    exchange, fleet,
+    fleet::Change,
+    id::{DataCentre, Upstream, Vm},
+    metrics::Metrics,
+    quarantine::Quarantine,
+    time::{Clock, Millis},
+    upstream,
+};
+
+/// How long a request that crashed upstreams is remembered.
+const QUARANTINE_KEEP: Millis = Millis(60_000);
+
+/// What a node is given at its start.
+pub struct Identity {
+    pub vm: Vm,
+    pub data_centre: DataCentre,
+    /// Seed of the random draws of the node's decisions.
+    pub seed: u64,
+}
+
+/// The settings of the product's slices.
+#[derive(Clone, Debug, Default)]
+pub struct Settings {
+    pub balance: balance::Settings,
+    pub pool: upstream::Settings,
+}
+
+/// One running node.
+pub struct Node {
+    pub identity: Identity,
+    pub exchange: Arc<exchange::Context>,
+    catalog: Mutex<catalog::State>,
+    fleet: Mutex<fleet::State>,
+    draining: AtomicBool,
+}
+
+/// Where a request of a caller goes.
+#[derive(Clone, Debug)]
+pub enum Destination {
+    /// No configuration is known yet.
+    NotConfigured,
+    /// No route of the configuration matches.
+    NoRoute,
+    Route {
+        route: Arc<Route>,
+        config: u64,
+    },
+}
+
+impl Node {
+    pub fn new(
+        identity: Identity,
+        settings: Settings,
+        clock: Clock,
+        codec: Arc<dyn upstream::Codec>,
+        metrics: Arc<Metrics>,
+    ) -> Node {
+        let home = identity.data_centre.clone();
+        let balance = balance::State::new(settings.balance, home, identity.seed);
+        let exchange = exchange::Context {
+            clock,
+            balance: Mutex::new(balance),
+            quarantine: Mutex::new(Quarantine::new(QUARANTINE_KEEP)),
+            pool: Arc::new(upstream::Pool::new(settings.pool)),
+            codec,
+            metrics,
+        };
+        Node {
+            identity,
+            exchange: Arc::new(exchange),
+            catalog: Mutex::default(),
+            fleet: Mutex::default(),
+            draining: AtomicBool::new(false),
+        }
+    }
+
+    pub fn catalog(&self) -> Option<Arc<Catalog>> {
+        lock(&self.catalog).current()
+    }
+
+    /// Takes a configuration over unless a newer one is in force.
+    pub fn offer_catalog(&self, catalog: Catalog, source: &str) {
+        let version = catalog.version;
+        let routes = catalog.iter().count();
+        if lock(&self.catalog).offer(catalog) {
+            log::info!(version = version, routes = routes, source = source; "configuration in force");
+        }
+    }
+
+    /// The registry has answered; to be called before the changes of that answer.
+    pub fn registry_answered(&self) {
+        lock(&self.fleet).registry_answered(self.exchange.clock.now());
+    }
+
+    /// The registry was read as a whole.
+    pub fn replace_fleet(&self, entries: BTreeMap<Upstream, fleet::Entry>) {
+        let changes = lock(&self.fleet).replace(self.exchange.clock.now(), entries);
+        self.apply(&changes);
+    }
+
+    /// An upstream's entry was written, or removed when there is none.
+    pub fn put_upstream(&self, upstream: Upstream, entry: Option<fleet::Entry>) {
+        let mut fleet = lock(&self.fleet);
+        let change = match entry {
+            Some(entry) => fleet.put(upstream, entry),
+            None => fleet.remove(self.exchange.clock.now(), &upstream),
+        };
+        drop(fleet);
+        self.apply(change.as_slice());
+    }
+
+    /// Work that is due from time to time.
+    pub fn tick(&self) {
+        let gone = lock(&self.fleet).expire(self.exchange.clock.now());
+        self.apply(&gone);
+        self.exchange.pool.expire();
+    }
+
+    /// Where a request goes.
+    pub fn route(&self, host: &str, path: &str) -> Destination {
+        let Some(catalog) = self.catalog() else { return Destination::NotConfigured };
+        let Some(route) = catalog.find(host, path) else { return Destination::NoRoute };
+        Destination::Route { route: Arc::clone(route), config: catalog.version }
+    }
+
+    /// Whether new callers should be sent here.
+    pub fn is_ready(&self) -> bool {
+        !self.is_draining() && self.catalog().is_some() && !lock(&self.fleet).entries().is_empty()
+    }
+
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    /// The process has been asked to stop.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+        log::info!("draining: no longer ready, answers ask callers to reconnect");
+    }
+
+    /// Whether requests of `route` are batch jobs.
+    pub fn is_batch(route: &Route) -> bool {
+        route.kind == Kind::Batch
+    }
+
+    fn apply(&self, changes: &[Change]) {
+        if changes.is_empty() {
+            return;
+        }
+        let fleet = lock(&self.fleet);
+        self.exchange.balance().update(fleet.entries());
+        let known = fleet.entries().len();
+        drop(fleet);
+        for change in changes {
+            if let Change::Restarted(upstream) | Change::Gone(upstream) = change {
+                self.exchange.pool.forget(upstream);
+            }
+            log::info!(change:? = change, known = known; "fleet changed");
+        }
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
