feat(batch): jobs of the users' platform, kept in keyed partitions and run by one fenced owner each

The group deals partitions, the append's epoch fences their writers, all jobs of a host share a partition so that one owner counts the quota. Items are paused when their upstream holds more requests than slots and go on behind their last event. Nodes tell each other their requests in flight and partitions by datagrams. Considered: claims and leases of our own (batch/owner of the daemon), which the platform's group and epochs make needless.

--- /dev/null
+++ b/serving/src/batch/ledger.rs
@@ -0,0 +1,409 @@
+//! The jobs of one partition: what was accepted, what may run, what is listed.
+//!
+//! A job or result exists for callers once its record is durable. The owner of the partition
+//! confirms each write; results of a job are listed in the order of their records.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bytes::Bytes;
+
+use crate::{id::Job as JobId, log_store, time::Millis};
+
+use super::record::{self, Head, Key, Outcome, State};
+
+/// Names an item of a job.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ItemId {
+    pub job: JobId,
+    pub index: u32,
+}
+
+/// What is left of an item between two runs.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Progress {
+    /// The data of the events so far, joined by line feeds.
+    pub output: Vec<u8>,
+    /// Whole events received.
+    pub events: u64,
+    /// The number of the last one.
+    pub last_event: Option<u64>,
+}
+
+/// Where an item stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Stage {
+    Waiting {
+        progress: Progress,
+        not_before: Millis,
+    },
+    Running,
+    /// Its result has been decided.
+    Done,
+}
+
+#[derive(Clone, Debug)]
+struct Tracked {
+    stage: Stage,
+    /// Answers of 500 so far.
+    failures: u32,
+}
+
+/// One job.
+#[derive(Clone, Debug)]
+pub struct Job {
+    pub head: Head,
+    /// Results in the order of their records; those beyond `listed` aren't durable yet.
+    pub results: Vec<Outcome>,
+    pub listed: usize,
+    /// The caller has ended the job.
+    pub ended: bool,
+    /// The job's records are durable.
+    pub durable: bool,
+    /// Records that hold the head.
+    chunks: u32,
+    /// When its results are due, on the clock of this process.
+    pub due: Millis,
+    items: Vec<Tracked>,
+    /// Tokens of items without a result.
+    pub waiting_tokens: u64,
+}
+
+impl Job {
+    fn new(head: Head, due: Millis, chunks: usize) -> Job {
+        let tracked = Tracked {
+            stage: Stage::Waiting { progress: Progress::default(), not_before: Millis(0) },
+            failures: 0,
+        };
+        let items = vec![tracked; head.items.len()];
+        let waiting_tokens = head.items.iter().map(|item| item.tokens).sum();
+        Job {
+            head,
+            results: Vec::new(),
+            listed: 0,
+            ended: false,
+            durable: false,
+            chunks: chunks as u32,
+            due,
+            items,
+            waiting_tokens,
+        }
+    }
+
+    /// Whether nothing is left to do.
+    pub fn is_complete(&self) -> bool {
+        self.results.len() == self.items.len()
+    }
+
+    fn finish(&mut self, outcome: Outcome) -> Option<u32> {
+        let index = outcome.item as usize;
+        let tracked = self.items.get_mut(index)?;
+        if tracked.stage == Stage::Done {
+            return None;
+        }
+        tracked.stage = Stage::Done;
+        self.waiting_tokens -= self.head.items[index].tokens;
+        self.results.push(outcome);
+        Some(self.results.len() as u32 - 1)
+    }
+}
+
+/// What becomes of a submission.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Submission {
+    /// The records are to be made durable, then `confirm_job` is due.
+    Write(Vec<log_store::Record>),
+    /// The job is known and durable.
+    Known,
+    /// The job is known and its record is being written.
+    Pending,
+    /// The route's quota of tokens has no room for it.
+    OverQuota,
+    /// The job can't be kept, for example because it is too large.
+    Invalid(String),
+}
+
+/// How a run of an item ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RunEnd {
+    Complete,
+    /// The run made room or was cut off; it goes on behind its last event.
+    Interrupted,
+    /// The upstream answered 500.
+    Failed,
+    /// The upstream says that the item can never be done.
+    Impossible,
+}
+
+/// The jobs of one partition.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+    jobs: BTreeMap<JobId, Job>,
+    /// Items that may run, by due time.
+    ready: BTreeSet<(Millis, ItemId)>,
+}
+
+impl Ledger {
+    /// Rebuilds the ledger from the newest records of its partition. `wall` and `now` are the
+    /// same instant; `due_after` gives the time for the results of a head.
+    pub fn restore(
+        records: &[log_store::Record],
+        wall: u64,
+        now: Millis,
+        due_after: impl Fn(&Head) -> Millis,
+    ) -> Ledger {
+        let mut heads: BTreeMap<JobId, BTreeMap<u32, Bytes>> = BTreeMap::new();
+        let mut outcomes: BTreeMap<JobId, BTreeMap<u32, Outcome>> = BTreeMap::new();
+        let mut ended = BTreeSet::new();
+        for entry in records {
+            let (Some(key), Some(value)) = (Key::decode(&entry.key), &entry.value) else {
+                log::warn!(key = entry.key.as_str(); "batch record can't be read");
+                continue;
+            };
+            match key {
+                Key::Head { job, chunk } => {
+                    heads.entry(job).or_default().insert(chunk, value.clone());
+                }
+                Key::Outcome { job, position } => match postcard::from_bytes(value) {
+                    Ok(outcome) => {
+                        outcomes.entry(job).or_default().insert(position, outcome);
+                    }
+                    Err(error) => {
+                        log::error!(key = entry.key.as_str(), error:% = error; "result can't be read");
+                    }
+                },
+                Key::Ended { job } => {
+                    ended.insert(job);
+                }
+            }
+        }
+        let mut ledger = Ledger::default();
+        for (id, chunks) in heads {
+            let head = match record::join_head(&chunks) {
+                Some(Ok(head)) => head,
+                Some(Err(error)) => {
+                    log::error!(job = id.0.as_str(), error:% = error; "job can't be read");
+                    continue;
+                }
+                None => {
+                    log::error!(job = id.0.as_str(); "job lacks a part of its head");
+                    continue;
+                }
+            };
+            let age = Millis(wall.saturating_sub(head.accepted));
+            let due = now + due_after(&head) - age;
+            let mut job = Job::new(head, due, chunks.len());
+            job.durable = true;
+            for (_, outcome) in outcomes.remove(&id).unwrap_or_default() {
+                job.finish(outcome);
+            }
+            job.listed = job.results.len();
+            job.ended = ended.contains(&id);
+            ledger.jobs.insert(id.clone(), job);
+            ledger.make_ready(&id);
+        }
+        ledger
+    }
+
+    pub fn job(&self, id: &JobId) -> Option<&Job> {
+        self.jobs.get(id)
+    }
+
+    pub fn jobs(&self) -> impl Iterator<Item = (&JobId, &Job)> {
+        self.jobs.iter()
+    }
+
+    /// A job is submitted. `quota` is the most tokens that may wait on its route, 0 for no limit,
+    /// and `same_route` tells the jobs that count towards it.
+    pub fn submit(
+        &mut self,
+        id: &JobId,
+        head: Head,
+        due: Millis,
+        quota: u64,
+        record_bytes: usize,
+        same_route: impl Fn(&Head) -> bool,
+    ) -> Submission {
+        if let Some(known) = self.jobs.get(id) {
+            return if known.durable { Submission::Known } else { Submission::Pending };
+        }
+        let counted = self.jobs.values().filter(|job| !job.ended && same_route(&job.head));
+        let waiting: u64 = counted.map(|job| job.waiting_tokens).sum();
+        let asked: u64 = head.items.iter().map(|item| item.tokens).sum();
+        if quota > 0 && waiting + asked > quota {
+            return Submission::OverQuota;
+        }
+        match record::head(id, &head, record_bytes) {
+            Ok(records) => {
+                self.jobs.insert(id.clone(), Job::new(head, due, records.len()));
+                Submission::Write(records)
+            }
+            Err(error) => Submission::Invalid(error.to_string()),
+        }
+    }
+
+    /// The record of a job is durable.
+    pub fn confirm_job(&mut self, id: &JobId) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.durable = true;
+        }
+        self.make_ready(id);
+    }
+
+    /// The record of a job was not written and won't be.
+    pub fn withdraw(&mut self, id: &JobId) {
+        if self.jobs.get(id).is_some_and(|job| !job.durable) {
+            self.jobs.remove(id);
+        }
+    }
+
+    /// The next result of a job is durable.
+    pub fn confirm_result(&mut self, id: &JobId) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.listed += 1;
+        }
+    }
+
+    /// The caller ends a job: nothing of it runs from now on. `None` if there is no such job.
+    pub fn end(&mut self, id: &JobId) -> Option<log_store::Record> {
+        let job = self.jobs.get_mut(id)?;
+        job.ended = true;
+        self.ready.retain(|(_, item)| item.job != *id);
+        Some(record::put(&Key::Ended { job: id.clone() }, vec![1]))
+    }
+
+    /// Items that may run now, the one that is due first in front.
+    pub fn runnable(&self, now: Millis) -> impl Iterator<Item = &ItemId> {
+        self.ready.iter().map(|(_, item)| item).filter(move |item| {
+            let stage = &self.jobs[&item.job].items[item.index as usize].stage;
+            matches!(stage, Stage::Waiting { not_before, .. } if *not_before <= now)
+        })
+    }
+
+    pub fn has_ready(&self) -> bool {
+        !self.ready.is_empty()
+    }
+
+    pub fn due(&self, item: &ItemId) -> Millis {
+        self.jobs.get(&item.job).map_or(Millis(u64::MAX), |job| job.due)
+    }
+
+    /// An item is started. Returns what earlier runs have left.
+    pub fn start(&mut self, item: &ItemId) -> Progress {
+        let Some(job) = self.jobs.get_mut(&item.job) else { return Progress::default() };
+        self.ready.remove(&(job.due, item.clone()));
+        let stage = std::mem::replace(&mut job.items[item.index as usize].stage, Stage::Running);
+        match stage {
+            Stage::Waiting { progress, .. } => progress,
+            Stage::Running | Stage::Done => Progress::default(),
+        }
+    }
+
+    /// A run has ended. Returns the record of the item's result, if this decides it.
+    pub fn ran(
+        &mut self,
+        now: Millis,
+        item: &ItemId,
+        end: &RunEnd,
+        progress: Progress,
+        max_failures: u32,
+        retry: Millis,
+    ) -> Option<log_store::Record> {
+        let job = self.jobs.get_mut(&item.job)?;
+        let tracked = &mut job.items[item.index as usize];
+        if tracked.stage == Stage::Done {
+            return None;
+        }
+        let (state, progress, not_before) = match end {
+            RunEnd::Complete => (Some(State::Succeeded), progress, now),
+            RunEnd::Impossible => (Some(State::DeadLettered), Progress::default(), now),
+            RunEnd::Failed => {
+                tracked.failures += 1;
+                let is_last = tracked.failures >= max_failures.max(1);
+                (is_last.then_some(State::DeadLettered), Progress::default(), now + retry)
+            }
+            RunEnd::Interrupted => (None, progress, now),
+        };
+        if job.ended {
+            tracked.stage = Stage::Waiting { progress, not_before };
+            return None;
+        }
+        let Some(state) = state else {
+            tracked.stage = Stage::Waiting { progress, not_before };
+            self.ready.insert((job.due, item.clone()));
+            return None;
+        };
+        let output = match state {
+            State::Succeeded => String::from_utf8_lossy(&progress.output).into_owned(),
+            State::DeadLettered => String::new(),
+        };
+        self.finish(&item.job, Outcome { item: item.index, state, output })
+    }
+
+    /// Gives up the items of a job whose time or route has ended. Running ones are left alone.
+    pub fn abandon(&mut self, id: &JobId) -> Vec<log_store::Record> {
+        let Some(job) = self.jobs.get(id) else { return Vec::new() };
+        let waiting = |tracked: &Tracked| matches!(tracked.stage, Stage::Waiting { .. });
+        let items: Vec<u32> = (0u32..)
+            .zip(&job.items)
+            .filter(|(_, tracked)| waiting(tracked))
+            .map(|(index, _)| index)
+            .collect();
+        self.ready.retain(|(_, item)| item.job != *id);
+        let outcome = |item| Outcome { item, state: State::DeadLettered, output: String::new() };
+        items.into_iter().filter_map(|item| self.finish(id, outcome(item))).collect()
+    }
+
+    /// Drops jobs that were accepted before `before` (Unix milliseconds) and have ended or are
+    /// complete. Returns the records that drop their keys.
+    pub fn forget(&mut self, before: u64) -> Vec<log_store::Record> {
+        let old: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, job)| {
+                let over = job.ended || job.is_complete() && job.listed == job.results.len();
+                job.durable && over && job.head.accepted < before
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        let mut records = Vec::new();
+        for id in old {
+            let Some(job) = self.jobs.remove(&id) else { continue };
+            for position in 0..job.results.len() as u32 {
+                records.push(record::drop_key(&Key::Outcome { job: id.clone(), position }));
+            }
+            if job.ended {
+                records.push(record::drop_key(&Key::Ended { job: id.clone() }));
+            }
+            // The head goes last: without it, left-over results are not read.
+            for chunk in (0..job.chunks).rev() {
+                records.push(record::drop_key(&Key::Head { job: id.clone(), chunk }));
+            }
+        }
+        records
+    }
+
+    fn finish(&mut self, id: &JobId, outcome: Outcome) -> Option<log_store::Record> {
+        let job = self.jobs.get_mut(id)?;
+        let position = job.finish(outcome)?;
+        let outcome = &job.results[position as usize];
+        match record::outcome(id, position, outcome) {
+            Ok(record) => Some(record),
+            Err(error) => {
+                log::error!(job = id.0.as_str(), error:% = error; "result can't be encoded");
+                None
+            }
+        }
+    }
+
+    fn make_ready(&mut self, id: &JobId) {
+        let Some(job) = self.jobs.get(id) else { return };
+        if job.ended {
+            return;
+        }
+        for (index, tracked) in (0u32..).zip(&job.items) {
+            if matches!(tracked.stage, Stage::Waiting { .. }) {
+                self.ready.insert((job.due, ItemId { job: id.clone(), index }));
+            }
+        }
+    }
+}
--- a/serving/src/catalog.rs
+++ b/serving/src/catalog.rs
@@ -1,6 +1,9 @@
 //! The configuration in force: routes, services and the limits of callers.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, PoisonError},
+};
 
 use crate::{
     id::{Route as RouteId, Service},
@@ -163,3 +166,18 @@
         true
     }
 }
+
+/// The configuration in force, shared by the slices of a process.
+#[derive(Clone, Debug, Default)]
+pub struct Shared(Arc<Mutex<State>>);
+
+impl Shared {
+    pub fn current(&self) -> Option<Arc<Catalog>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).current()
+    }
+
+    /// Takes a version over unless it is older than the one held. Tells whether it changed.
+    pub fn offer(&self, catalog: Catalog) -> bool {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).offer(catalog)
+    }
+}
--- a/serving/src/exchange/mod.rs
+++ b/serving/src/exchange/mod.rs
@@ -11,4 +11,5 @@
 mod trace;
 
 pub use relay::Broken;
+pub(crate) use task::Lease;
 pub use task::{Answer, Context, Job, run};
--- a/serving/src/exchange/task.rs
+++ b/serving/src/exchange/task.rs
@@ -92,7 +92,7 @@
     ) -> Result<Lease, Refusal> {
         let now = self.clock.now();
         let pick = self.balance().choose(now, Want { service, class, avoid })?;
-        Ok(Lease { context: Arc::clone(self), pick, since: now, outcome: Outcome::Neutral })
+        Ok(Lease { context: Arc::clone(self), pick, outcome: Outcome::Neutral })
     }
 }
 
@@ -100,7 +100,7 @@
 pub(crate) struct Lease {
     context: Arc<Context>,
     pub(crate) pick: Pick,
-    pub(crate) since: Millis,
+
     pub(crate) outcome: Outcome,
 }
 
--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -6,6 +6,7 @@
 //! and the configuration.
 
 pub mod balance;
+pub mod batch;
 
 pub mod catalog;
 pub mod exchange;
@@ -14,6 +15,7 @@
 pub mod log_store;
 pub mod metrics;
 pub mod node;
+pub mod peers;
 
 pub mod quarantine;
 pub mod telemetry;
--- a/serving/src/node.rs
+++ b/serving/src/node.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     balance, catalog,
-    catalog::{Catalog, Kind, Route},
+    catalog::Catalog,
     exchange, fleet,
     fleet::Change,
     id::{DataCentre, Upstream, Vm},
@@ -42,24 +42,11 @@
 pub struct Node {
     pub identity: Identity,
     pub exchange: Arc<exchange::Context>,
-    catalog: Mutex<catalog::State>,
+    pub catalog: catalog::Shared,
     fleet: Mutex<fleet::State>,
     draining: AtomicBool,
 }
 
-/// Where a request of a caller goes.
-#[derive(Clone, Debug)]
-pub enum Destination {
-    /// No configuration is known yet.
-    NotConfigured,
-    /// No route of the configuration matches.
-    NoRoute,
-    Route {
-        route: Arc<Route>,
-        config: u64,
-    },
-}
-
 impl Node {
     pub fn new(
         identity: Identity,
@@ -81,21 +68,21 @@
         Node {
             identity,
             exchange: Arc::new(exchange),
-            catalog: Mutex::default(),
+            catalog: catalog::Shared::default(),
             fleet: Mutex::default(),
             draining: AtomicBool::new(false),
         }
     }
 
     pub fn catalog(&self) -> Option<Arc<Catalog>> {
-        lock(&self.catalog).current()
+        self.catalog.current()
     }
 
     /// Takes a configuration over unless a newer one is in force.
     pub fn offer_catalog(&self, catalog: Catalog, source: &str) {
         let version = catalog.version;
         let routes = catalog.iter().count();
-        if lock(&self.catalog).offer(catalog) {
+        if self.catalog.offer(catalog) {
             log::info!(version = version, routes = routes, source = source; "configuration in force");
         }
     }
@@ -129,13 +116,6 @@
         self.exchange.pool.expire();
     }
 
-    /// Where a request goes.
-    pub fn route(&self, host: &str, path: &str) -> Destination {
-        let Some(catalog) = self.catalog() else { return Destination::NotConfigured };
-        let Some(route) = catalog.find(host, path) else { return Destination::NoRoute };
-        Destination::Route { route: Arc::clone(route), config: catalog.version }
-    }
-
     /// Whether new callers should be sent here.
     pub fn is_ready(&self) -> bool {
         !self.is_draining() && self.catalog().is_some() && !lock(&self.fleet).entries().is_empty()
@@ -151,11 +131,6 @@
         log::info!("draining: no longer ready, answers ask callers to reconnect");
     }
 
-    /// Whether requests of `route` are batch jobs.
-    pub fn is_batch(route: &Route) -> bool {
-        route.kind == Kind::Batch
-    }
-
     fn apply(&self, changes: &[Change]) {
         if changes.is_empty() {
             return;
--- /dev/null
+++ b/serving/src/peers/message.rs
@@ -0,0 +1,44 @@
+//! The datagram between nodes.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    balance::Load,
+    id::{Incarnation, Upstream, Vm},
+    quarantine::Suspect,
+};
+
+pub type Result<T> = std::result::Result<T, postcard::Error>;
+
+/// What a node tells its peers.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Message {
+    pub vm: Vm,
+    pub incarnation: Incarnation,
+    /// Grows with each message of an incarnation; older ones that come late are dropped.
+    pub sequence: u64,
+    /// Where the node listens to its peers.
+    pub address: SocketAddr,
+    /// Requests of the node in flight, by upstream.
+    pub loads: BTreeMap<Upstream, Load>,
+    /// Partitions that the node owns, with their epochs.
+    pub owned: Vec<(u16, u64)>,
+    /// Some other peers.
+    pub peers: Vec<SocketAddr>,
+    /// Requests that crash upstreams.
+    pub suspects: Vec<Suspect>,
+    /// The node is stopping and is to be forgotten.
+    pub leaving: bool,
+}
+
+impl Message {
+    pub fn encode(&self) -> Result<Vec<u8>> {
+        postcard::to_stdvec(self)
+    }
+
+    pub fn decode(bytes: &[u8]) -> Result<Message> {
+        postcard::from_bytes(bytes)
+    }
+}
--- /dev/null
+++ b/serving/src/peers/mod.rs
@@ -0,0 +1,13 @@
+//! What nodes tell each other directly: requests in flight, partitions owned, crashing requests.
+//!
+//! Datagrams carry the whole state each time, so a lost one is made good by the next.
+
+mod message;
+mod settings;
+mod state;
+mod task;
+
+pub use message::{Message, Result};
+pub use settings::Settings;
+pub use state::State;
+pub use task::{Sources, run};
--- /dev/null
+++ b/serving/src/peers/settings.rs
@@ -0,0 +1,32 @@
+//! Settings of the peers slice.
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// How often nodes tell each other what they know.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Settings {
+    /// Milliseconds between two messages while the requests in flight change.
+    pub change_ms: u64,
+    /// Further milliseconds between two messages for each peer, so that the cost stays bounded.
+    pub change_per_peer_ms: u64,
+    /// Milliseconds between two messages while nothing changes.
+    pub heartbeat_ms: u64,
+    /// Milliseconds of silence after which a peer is forgotten.
+    pub expiry_ms: u64,
+    /// Addresses of other peers named in one message.
+    pub introductions: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            change_ms: 20,
+            change_per_peer_ms: 1,
+            heartbeat_ms: 250,
+            expiry_ms: 3_000,
+            introductions: 4,
+        }
+    }
+}
--- /dev/null
+++ b/serving/src/peers/task.rs
@@ -0,0 +1,120 @@
+//! Sends and receives the datagrams between nodes.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use tokio::{net::UdpSocket, time::sleep};
+
+use crate::{
+    balance::Load,
+    batch::Group,
+    exchange::Context,
+    id::{Incarnation, Upstream, Vm},
+    time::Millis,
+};
+
+use super::{Message, State};
+
+/// The largest datagram that is read.
+const DATAGRAM_BYTES: usize = 16 << 10;
+/// How often changes are looked for.
+const LOOK: Millis = Millis(10);
+
+/// What is told to peers, and where their news go.
+pub struct Sources {
+    pub vm: Vm,
+    pub incarnation: Incarnation,
+    pub address: std::net::SocketAddr,
+    pub state: Mutex<State>,
+    pub context: Arc<Context>,
+    pub group: Arc<Group>,
+}
+
+impl Sources {
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn message(&self, sequence: u64, loads: BTreeMap<Upstream, Load>, now: Millis) -> Message {
+        Message {
+            vm: self.vm.clone(),
+            incarnation: self.incarnation,
+            sequence,
+            address: self.address,
+            loads,
+            owned: self.group.owned(),
+            peers: self.state().tell(now),
+            suspects: self.context.quarantine().all(now),
+            leaving: false,
+        }
+    }
+
+    fn take(&self, message: Message) {
+        let now = self.context.clock.now();
+        if !self.state().heard(now, &message) {
+            return;
+        }
+        self.context.balance().told(now, &message.vm, &message.loads);
+        self.context.quarantine().merge(now, message.suspects);
+        self.group.told(message.address, &message.owned);
+    }
+}
+
+/// Exchanges news with peers until the process ends.
+pub async fn run(sources: Arc<Sources>, socket: UdpSocket) {
+    let socket = Arc::new(socket);
+    tokio::spawn(receive(Arc::clone(&sources), Arc::clone(&socket)));
+    let mut sequence = 0;
+    let mut told = BTreeMap::new();
+    loop {
+        sleep(LOOK.duration()).await;
+        let now = sources.context.clock.now();
+        let loads = sources.context.balance().own();
+        if now < sources.state().due(loads != told) {
+            continue;
+        }
+        for address in sources.state().expire(now) {
+            log::info!(peer:% = address; "peer forgotten");
+        }
+        sequence += 1;
+        told = loads.clone();
+        send(&sources, &socket, sources.message(sequence, loads, now)).await;
+    }
+}
+
+async fn send(sources: &Sources, socket: &UdpSocket, message: Message) {
+    let bytes = match message.encode() {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            log::error!(error:% = error; "message to peers can't be encoded");
+            return;
+        }
+    };
+    let addresses: Vec<_> = sources.state().addresses().collect();
+    for address in addresses {
+        if let Err(error) = socket.send_to(&bytes, address).await {
+            log::debug!(peer:% = address, error:% = error; "message to a peer not sent");
+        }
+    }
+}
+
+async fn receive(sources: Arc<Sources>, socket: Arc<UdpSocket>) {
+    let mut buffer = vec![0; DATAGRAM_BYTES];
+    loop {
+        let length = match socket.recv_from(&mut buffer).await {
+            Ok((length, _)) => length,
+            Err(error) => {
+                log::debug!(error:% = error; "message from a peer not received");
+                continue;
+            }
+        };
+        match Message::decode(&buffer[..length]) {
+            Ok(message) => sources.take(message),
+            Err(error) => {
+                log::warn!(error:% = error, bytes = length; "message from a peer can't be read")
+            }
+        }
+    }
+}
