--- a/serving/src/batch/group.rs
+++ b/serving/src/batch/group.rs
@@ -6,7 +6,10 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
 
-use tokio::{task::AbortHandle, time::sleep};
+use tokio::{
+    task::AbortHandle,
+    time::{sleep, timeout},
+};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{catalog, exchange::Context, log_store, log_store::Partition, time::Millis};
@@ -22,6 +25,8 @@
 const GROUP: &str = "jobs";
 /// An epoch is the group's generation, then the starts of an owner within that generation.
 const STARTS_PER_GENERATION: u64 = 1 << 10;
+/// How long an owner may take to save its progress; a slow log answers within half of it.
+const RELEASE_TIMEOUT: Millis = Millis(800);
 /// Renewals between two looks at the owners of all partitions, once they are known.
 const OWNERS_EVERY: u32 = 10;
 
@@ -116,7 +121,11 @@
             match joined {
                 Ok(assignment) => {
                     let changed = assignment.generation != generation;
-                    if self.take(&assignment) || changed {
+                    let lost = self.lose(&assignment);
+                    let gives_up = !lost.is_empty();
+                    release(lost).await;
+                    self.take(&assignment);
+                    if gives_up || changed {
                         // What was given up is dealt on at the next renewal.
                         round = 0;
                         continue;
@@ -136,39 +145,35 @@
 
     /// Gives all partitions back, so that others take them over at once.
     pub async fn leave(&self) {
-        let mut table = self.lock();
-        table.left = true;
-        let owned = std::mem::take(&mut table.owned);
-        drop(table);
-        for owned in owned.values() {
-            owned.task.abort();
-        }
+        let owned = {
+            let mut table = self.lock();
+            table.left = true;
+            std::mem::take(&mut table.owned)
+        };
+        release(owned.into_values().collect()).await;
         if let Err(error) = self.tools.store.leave(GROUP, &self.member).await {
             log::warn!(group = GROUP, error:% = error; "group can't be left");
         }
     }
 
-    /// Starts and ends owners by an assignment. Tells whether partitions were given up.
-    fn take(&self, assignment: &log_store::Assignment) -> bool {
+    /// Takes out the owners of partitions that are to go to others.
+    fn lose(&self, assignment: &log_store::Assignment) -> Vec<Owned> {
         let mut table = self.lock();
-        if table.left {
-            return false;
-        }
-        table.generation = assignment.generation;
-        let lost: Vec<u16> = table
-            .owned
-            .keys()
-            .filter(|number| !assignment.partitions.contains(number))
-            .copied()
-            .collect();
-        for number in &lost {
-            if let Some(owned) = table.owned.remove(number) {
-                owned.task.abort();
-            }
-        }
+        let kept = |number: &u16| assignment.partitions.contains(number);
+        let lost: Vec<u16> = table.owned.keys().filter(|number| !kept(number)).copied().collect();
         if !lost.is_empty() {
             log::info!(partitions:? = lost, generation = assignment.generation; "partitions given up");
         }
+        lost.iter().filter_map(|number| table.owned.remove(number)).collect()
+    }
+
+    /// Starts the owners of an assignment that aren't running.
+    fn take(&self, assignment: &log_store::Assignment) {
+        let mut table = self.lock();
+        if table.left {
+            return;
+        }
+        table.generation = assignment.generation;
         for number in &assignment.partitions {
             let runs = table.owned.get(number).is_some_and(|owned| !owned.task.is_finished());
             if runs {
@@ -180,7 +185,6 @@
             let (handle, task) = owner::start(self.tools.clone(), partition, epoch);
             table.owned.insert(*number, Owned { handle, epoch, task });
         }
-        !lost.is_empty()
     }
 
     async fn find_owners(&self, found: &impl Fn(SocketAddr)) {
@@ -210,3 +214,22 @@
         self.table.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Ends owners after they have saved their progress, or when that takes too long.
+async fn release(owners: Vec<Owned>) {
+    let releasing: Vec<_> = owners
+        .iter()
+        .map(|owned| {
+            let handle = owned.handle.clone();
+            tokio::spawn(async move { timeout(RELEASE_TIMEOUT.duration(), handle.release()).await })
+        })
+        .collect();
+    for task in releasing {
+        if !matches!(task.await, Ok(Ok(Ok(())))) {
+            log::warn!(
+                "progress could not be saved in time; the next owner starts some items anew"
+            );
+        }
+    }
+    owners.iter().for_each(|owned| owned.task.abort());
+}
--- a/serving/src/batch/ledger.rs
+++ b/serving/src/batch/ledger.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 
 use crate::{id::Job as JobId, log_store, time::Millis};
 
@@ -19,7 +20,7 @@
 }
 
 /// What is left of an item between two runs.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Progress {
     /// The data of the events so far, joined by line feeds.
     pub output: Vec<u8>,
@@ -46,6 +47,8 @@
     stage: Stage,
     /// Answers of 500 so far.
     failures: u32,
+    /// A record of its progress is in the log.
+    saved: bool,
 }
 
 /// One job.
@@ -73,6 +76,7 @@
         let tracked = Tracked {
             stage: Stage::Waiting { progress: Progress::default(), not_before: Millis(0) },
             failures: 0,
+            saved: false,
         };
         let items = vec![tracked; head.items.len()];
         let waiting_tokens = head.items.iter().map(|item| item.tokens).sum();
@@ -94,6 +98,15 @@
         self.results.len() == self.items.len()
     }
 
+    /// An item goes on behind what an earlier owner has saved.
+    fn resume(&mut self, item: u32, progress: Progress) {
+        let Some(tracked) = self.items.get_mut(item as usize) else { return };
+        tracked.saved = true;
+        if let Stage::Waiting { progress: held, .. } = &mut tracked.stage {
+            *held = progress;
+        }
+    }
+
     fn finish(&mut self, outcome: Outcome) -> Option<u32> {
         let index = outcome.item as usize;
         let tracked = self.items.get_mut(index)?;
@@ -153,6 +166,7 @@
     ) -> Ledger {
         let mut heads: BTreeMap<JobId, BTreeMap<u32, Bytes>> = BTreeMap::new();
         let mut outcomes: BTreeMap<JobId, BTreeMap<u32, Outcome>> = BTreeMap::new();
+        let mut progress: BTreeMap<JobId, BTreeMap<u32, Progress>> = BTreeMap::new();
         let mut ended = BTreeSet::new();
         for entry in records {
             let (Some(key), Some(value)) = (Key::decode(&entry.key), &entry.value) else {
@@ -171,6 +185,14 @@
                         log::error!(key = entry.key.as_str(), error:% = error; "result can't be read");
                     }
                 },
+                Key::Progress { job, item } => match postcard::from_bytes(value) {
+                    Ok(saved) => {
+                        progress.entry(job).or_default().insert(item, saved);
+                    }
+                    Err(error) => {
+                        log::warn!(key = entry.key.as_str(), error:% = error; "progress can't be read; the item starts anew");
+                    }
+                },
                 Key::Ended { job } => {
                     ended.insert(job);
                 }
@@ -196,6 +218,9 @@
             for (_, outcome) in outcomes.remove(&id).unwrap_or_default() {
                 job.finish(outcome);
             }
+            for (item, progress) in progress.remove(&id).unwrap_or_default() {
+                job.resume(item, progress);
+            }
             job.listed = job.results.len();
             job.ended = ended.contains(&id);
             ledger.jobs.insert(id.clone(), job);
@@ -298,7 +323,42 @@
         }
     }
 
-    /// A run has ended. Returns the record of the item's result, if this decides it.
+    /// A run has got so far. Returns the record by which a later owner goes on from there.
+    pub fn save(&mut self, item: &ItemId, progress: &Progress) -> Option<log_store::Record> {
+        let job = self.jobs.get_mut(&item.job).filter(|job| !job.ended)?;
+        let tracked = job.items.get_mut(item.index as usize)?;
+        if tracked.stage == Stage::Done || progress.events == 0 {
+            return None;
+        }
+        let key = Key::Progress { job: item.job.clone(), item: item.index };
+        match postcard::to_stdvec(progress) {
+            Ok(value) => {
+                tracked.saved = true;
+                Some(record::put(&key, value))
+            }
+            Err(error) => {
+                log::error!(job = item.job.0.as_str(), error:% = error; "progress can't be encoded");
+                None
+            }
+        }
+    }
+
+    /// Records of all that unfinished items have got so far, for the next owner.
+    pub fn save_all(&mut self) -> Vec<log_store::Record> {
+        let mut waiting = Vec::new();
+        for (id, job) in &self.jobs {
+            for (index, tracked) in (0u32..).zip(&job.items) {
+                if let Stage::Waiting { progress, .. } = &tracked.stage
+                    && progress.events > 0
+                {
+                    waiting.push((ItemId { job: id.clone(), index }, progress.clone()));
+                }
+            }
+        }
+        waiting.iter().filter_map(|(item, progress)| self.save(item, progress)).collect()
+    }
+
+    /// A run has ended. Returns the records of the item's result, if this decides it.
     pub fn ran(
         &mut self,
         now: Millis,
@@ -307,11 +367,11 @@
         progress: Progress,
         max_failures: u32,
         retry: Millis,
-    ) -> Option<log_store::Record> {
-        let job = self.jobs.get_mut(&item.job)?;
+    ) -> Vec<log_store::Record> {
+        let Some(job) = self.jobs.get_mut(&item.job) else { return Vec::new() };
         let tracked = &mut job.items[item.index as usize];
         if tracked.stage == Stage::Done {
-            return None;
+            return Vec::new();
         }
         let (state, progress, not_before) = match end {
             RunEnd::Complete => (Some(State::Succeeded), progress, now),
@@ -325,12 +385,12 @@
         };
         if job.ended {
             tracked.stage = Stage::Waiting { progress, not_before };
-            return None;
+            return Vec::new();
         }
         let Some(state) = state else {
             tracked.stage = Stage::Waiting { progress, not_before };
             self.ready.insert((job.due, item.clone()));
-            return None;
+            return Vec::new();
         };
         let output = match state {
             State::Succeeded => String::from_utf8_lossy(&progress.output).into_owned(),
@@ -339,8 +399,9 @@
         self.finish(&item.job, Outcome { item: item.index, state, output })
     }
 
-    /// Gives up the items of a job whose time or route has ended. Running ones are left alone.
-    pub fn abandon(&mut self, id: &JobId) -> Vec<log_store::Record> {
+    /// Gives up the items of a job whose time or route has ended; the records of each by itself.
+    /// Running ones are left alone.
+    pub fn abandon(&mut self, id: &JobId) -> Vec<Vec<log_store::Record>> {
         let Some(job) = self.jobs.get(id) else { return Vec::new() };
         let waiting = |tracked: &Tracked| matches!(tracked.stage, Stage::Waiting { .. });
         let items: Vec<u32> = (0u32..)
@@ -350,7 +411,7 @@
             .collect();
         self.ready.retain(|(_, item)| item.job != *id);
         let outcome = |item| Outcome { item, state: State::DeadLettered, output: String::new() };
-        items.into_iter().filter_map(|item| self.finish(id, outcome(item))).collect()
+        items.into_iter().map(|item| self.finish(id, outcome(item))).collect()
     }
 
     /// Drops jobs that were accepted before `before` (Unix milliseconds) and have ended or are
@@ -371,6 +432,11 @@
             for position in 0..job.results.len() as u32 {
                 records.push(record::drop_key(&Key::Outcome { job: id.clone(), position }));
             }
+            for (item, tracked) in (0u32..).zip(&job.items) {
+                if tracked.saved {
+                    records.push(record::drop_key(&Key::Progress { job: id.clone(), item }));
+                }
+            }
             if job.ended {
                 records.push(record::drop_key(&Key::Ended { job: id.clone() }));
             }
@@ -382,17 +448,22 @@
         records
     }
 
-    fn finish(&mut self, id: &JobId, outcome: Outcome) -> Option<log_store::Record> {
-        let job = self.jobs.get_mut(id)?;
-        let position = job.finish(outcome)?;
-        let outcome = &job.results[position as usize];
-        match record::outcome(id, position, outcome) {
-            Ok(record) => Some(record),
+    /// Decides an item's result. The first record holds it.
+    fn finish(&mut self, id: &JobId, outcome: Outcome) -> Vec<log_store::Record> {
+        let Some(job) = self.jobs.get_mut(id) else { return Vec::new() };
+        let item = outcome.item;
+        let Some(position) = job.finish(outcome) else { return Vec::new() };
+        let mut records = match record::outcome(id, position, &job.results[position as usize]) {
+            Ok(record) => vec![record],
             Err(error) => {
                 log::error!(job = id.0.as_str(), error:% = error; "result can't be encoded");
-                None
+                Vec::new()
             }
+        };
+        if std::mem::take(&mut job.items[item as usize].saved) {
+            records.push(record::drop_key(&Key::Progress { job: id.clone(), item }));
         }
+        records
     }
 
     fn make_ready(&mut self, id: &JobId) {
--- a/serving/src/batch/owner.rs
+++ b/serving/src/batch/owner.rs
@@ -23,13 +23,15 @@
 
 use super::{
     Settings,
-    ledger::{ItemId, Ledger, RunEnd, Submission},
+    ledger::{ItemId, Ledger, Progress, RunEnd, Submission},
     record::{Head, Outcome},
     run::{self, Finished, Run},
 };
 
 /// Commands that wait for an owner at most; more callers are told to come back.
 const COMMANDS: usize = 256;
+/// Reports of progress that wait for an owner at most; further ones are skipped.
+const PROGRESS_REPORTS: usize = 64;
 /// Milliseconds between two tries of an append or a claim.
 const RETRY: Millis = Millis(100);
 /// Bytes of output in one page of results at most.
@@ -69,10 +71,30 @@
 }
 
 enum Command {
-    Submit { id: JobId, head: Head, reply: oneshot::Sender<Result<Accepted, Unavailable>> },
-    Read { id: JobId, after: usize, wait: Millis, reply: oneshot::Sender<Option<Page>> },
-    Body { id: JobId, item: String, reply: oneshot::Sender<Option<Bytes>> },
-    End { id: JobId, reply: oneshot::Sender<bool> },
+    Submit {
+        id: JobId,
+        head: Head,
+        reply: oneshot::Sender<Result<Accepted, Unavailable>>,
+    },
+    Read {
+        id: JobId,
+        after: usize,
+        wait: Millis,
+        reply: oneshot::Sender<Option<Page>>,
+    },
+    Body {
+        id: JobId,
+        item: String,
+        reply: oneshot::Sender<Option<Bytes>>,
+    },
+    End {
+        id: JobId,
+        reply: oneshot::Sender<bool>,
+    },
+    /// Stop running, save what there is and end; the reply comes when that is durable.
+    Release {
+        reply: oneshot::Sender<()>,
+    },
 }
 
 /// Reaches the owner of a partition at this node.
@@ -111,6 +133,11 @@
         self.ask(|reply| Command::End { id, reply }).await
     }
 
+    /// Makes the owner save its progress and end.
+    pub(super) async fn release(&self) -> Result<(), Unavailable> {
+        self.ask(|reply| Command::Release { reply }).await
+    }
+
     async fn ask<T>(
         &self,
         command: impl FnOnce(oneshot::Sender<T>) -> Command,
@@ -136,7 +163,7 @@
     Accepted(JobId),
     Listed(JobId),
     Ended(JobId),
-    Dropped,
+    Saved,
 }
 
 #[derive(Clone, Debug)]
@@ -192,9 +219,18 @@
     readers: Vec<Reader>,
     running: BTreeMap<ItemId, Running>,
     runs: JoinSet<Finished>,
+    progressed: (mpsc::Sender<(ItemId, Progress)>, mpsc::Receiver<(ItemId, Progress)>),
+    /// The owner is to end.
+    releasing: Option<Release>,
     next_upkeep: Instant,
 }
 
+struct Release {
+    reply: oneshot::Sender<()>,
+    /// The progress of all items is being written.
+    saved: bool,
+}
+
 impl Owner {
     /// Fences earlier owners, then reads what they wrote. `None` when a later owner exists.
     async fn claim(tools: Tools, partition: Partition, epoch: u64) -> Option<Owner> {
@@ -246,6 +282,8 @@
             readers: Vec::new(),
             running: BTreeMap::new(),
             runs: JoinSet::new(),
+            progressed: mpsc::channel(PROGRESS_REPORTS),
+            releasing: None,
             next_upkeep: Instant::now() + UPKEEP.duration(),
         })
     }
@@ -253,6 +291,9 @@
     async fn run(mut self, mut commands: mpsc::Receiver<Command>) {
         let mut next_schedule = Instant::now();
         loop {
+            if self.is_released() {
+                return;
+            }
             self.append_next();
             let wake = self.wake(next_schedule);
             tokio::select! {
@@ -265,6 +306,11 @@
                         return;
                     }
                 }
+                Some((item, progress)) = self.progressed.1.recv() => {
+                    if let Some(record) = self.ledger.save(&item, &progress) {
+                        self.write(vec![record], Effect::Saved);
+                    }
+                }
                 Some(finished) = self.runs.join_next(), if !self.runs.is_empty() => {
                     match finished {
                         Ok(finished) => self.ran(finished),
@@ -311,16 +357,46 @@
                 let _ = reply.send(self.body(&id, &item));
             }
             Command::End { id, reply } => self.end(id, reply),
+            Command::Release { reply } => {
+                self.releasing = Some(Release { reply, saved: false });
+                for running in self.running.values_mut() {
+                    if let Some(pause) = running.pause.take() {
+                        let _ = pause.send(());
+                    }
+                }
+            }
         }
     }
 
+    /// Whether an owner that is to end has saved everything. Tells who waits for it.
+    fn is_released(&mut self) -> bool {
+        let Some(release) = &mut self.releasing else { return false };
+        if !self.running.is_empty() {
+            return false;
+        }
+        if !std::mem::replace(&mut release.saved, true) {
+            let records = self.ledger.save_all();
+            log::info!(partition = self.partition.number, items = records.len(); "progress is being saved for the next owner");
+            for record in records {
+                self.write(vec![record], Effect::Saved);
+            }
+        }
+        if self.appending.is_some() || !self.writes.is_empty() {
+            return false;
+        }
+        if let Some(release) = self.releasing.take() {
+            let _ = release.reply.send(());
+        }
+        true
+    }
+
     fn submit(
         &mut self,
         id: JobId,
         head: Head,
         reply: oneshot::Sender<Result<Accepted, Unavailable>>,
     ) {
-        let route = self.route(&head);
+        let route = self.route(&head).filter(|_| self.releasing.is_none());
         let Some(route) = route else {
             let _ = reply.send(Err(Unavailable::NotAccepted));
             return;
@@ -498,7 +574,7 @@
                     let _ = reply.send(true);
                 }
             }
-            Effect::Dropped => {}
+            Effect::Saved => {}
         }
     }
 
@@ -521,6 +597,9 @@
 
     /// Starts items while their services have room.
     fn schedule(&mut self) {
+        if self.releasing.is_some() {
+            return;
+        }
         let now = self.tools.context.clock.now();
         let items: Vec<ItemId> = self.ledger.runnable(now).cloned().collect();
         let mut full = BTreeSet::new();
@@ -560,6 +639,7 @@
                 lease,
                 settings: self.tools.settings.clone(),
                 pause: paused,
+                progressed: self.progressed.0.clone(),
             };
             self.runs.spawn(run.run());
         }
@@ -598,8 +678,9 @@
         let retry = Millis(self.tools.settings.retry_ms);
         let metrics = &self.tools.context.metrics;
         metrics.count(&metrics.batch, "run", &format!("{end:?}").to_lowercase());
-        if let Some(record) = self.ledger.ran(now, &id, &end, progress, attempts, retry) {
-            self.write(vec![record], Effect::Listed(id.job));
+        let records = self.ledger.ran(now, &id, &end, progress, attempts, retry);
+        if !records.is_empty() {
+            self.write(records, Effect::Listed(id.job));
         }
     }
 
@@ -626,15 +707,15 @@
             }
         }
         for (id, why) in over {
-            let records = self.ledger.abandon(&id);
-            log::warn!(job = id.0.as_str(), items = records.len(), why = why, config = catalog.version; "items given up");
-            for record in records {
-                self.write(vec![record], Effect::Listed(id.clone()));
+            let given_up = self.ledger.abandon(&id);
+            log::warn!(job = id.0.as_str(), items = given_up.len(), why = why, config = catalog.version; "items given up");
+            for records in given_up {
+                self.write(records, Effect::Listed(id.clone()));
             }
         }
         let old = self.ledger.forget(wall.saturating_sub(self.tools.settings.keep_ms));
         if !old.is_empty() {
-            self.write(old, Effect::Dropped);
+            self.write(old, Effect::Saved);
         }
     }
 }
--- a/serving/src/batch/record.rs
+++ b/serving/src/batch/record.rs
@@ -61,6 +61,11 @@
         job: Job,
         position: u32,
     },
+    /// What the runs of an unfinished item have left.
+    Progress {
+        job: Job,
+        item: u32,
+    },
     /// The caller has ended the job.
     Ended {
         job: Job,
@@ -73,6 +78,7 @@
         match self {
             Key::Head { job, chunk } => format!("h/{job}/{chunk:06}"),
             Key::Outcome { job, position } => format!("r/{job}/{position:06}"),
+            Key::Progress { job, item } => format!("p/{job}/{item:06}"),
             Key::Ended { job } => format!("e/{job}"),
         }
     }
@@ -87,6 +93,7 @@
         match kind {
             "h" => Some(Key::Head { job, chunk: number }),
             "r" => Some(Key::Outcome { job, position: number }),
+            "p" => Some(Key::Progress { job, item: number }),
             _ => None,
         }
     }
--- a/serving/src/batch/run.rs
+++ b/serving/src/batch/run.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 
 use crate::{
     balance::Outcome,
@@ -27,6 +27,8 @@
     pub(super) settings: Settings,
     /// Asks the run to make room.
     pub(super) pause: oneshot::Receiver<()>,
+    /// Takes what the run has got so far, from time to time.
+    pub(super) progressed: mpsc::Sender<(ItemId, Progress)>,
 }
 
 /// What a run has left.
@@ -115,6 +117,7 @@
         }
         let mut body = answer.body;
         let mut splitter = Splitter::default();
+        let mut saved = self.progress.events;
         loop {
             let next = tokio::time::timeout(silence, body.next()).await.map_err(|_| silent())??;
             let Some(bytes) = next else {
@@ -127,6 +130,11 @@
             while let Some(event) = splitter.next() {
                 self.progress.take(&event).map_err(broken)?;
             }
+            if self.progress.events >= saved + self.settings.save_events {
+                saved = self.progress.events;
+                // An owner with much to do skips this one; the next one holds more.
+                let _ = self.progressed.try_send((self.id.clone(), self.progress.clone()));
+            }
         }
     }
 }
--- a/serving/src/batch/settings.rs
+++ b/serving/src/batch/settings.rs
@@ -25,6 +25,8 @@
     pub run_ms: u64,
     /// Milliseconds without an event after which a run counts as broken.
     pub silence_ms: u64,
+    /// Events after which a run's progress is saved, so that a later owner goes on from there.
+    pub save_events: u64,
     /// Milliseconds after submission for which results are kept.
     pub keep_ms: u64,
 }
@@ -41,6 +43,7 @@
             retry_ms: 200,
             run_ms: 60_000,
             silence_ms: 1_500,
+            save_events: 40,
             keep_ms: 150_000,
         }
     }
