fix(batch): an owner says that a job or result doesn't exist only while its ownership is proven

Ruled out: a job lost by the log or by the hand-over (the later owner listed it). Change: what an owner doesn't know is told only within 700 ms of its last proof (a renewed membership or an append), else 503; nodes drop an owner that no longer names a partition; renewals every 250 ms.

--- a/serving/src/batch/group.rs
+++ b/serving/src/batch/group.rs
@@ -16,7 +16,7 @@
 
 use super::{
     Settings,
-    owner::{self, Handle, Tools},
+    owner::{self, Handle, Tools, Verified},
 };
 
 /// The topic of jobs and results.
@@ -28,7 +28,7 @@
 /// How long an owner may take to save its progress; a slow log answers within half of it.
 const RELEASE_TIMEOUT: Millis = Millis(800);
 /// Renewals between two looks at the owners of all partitions, once they are known.
-const OWNERS_EVERY: u32 = 10;
+const OWNERS_EVERY: u32 = 20;
 
 /// The partition of a host's jobs. One partition holds all jobs of a host, so that one owner
 /// counts the tokens that wait on its routes.
@@ -48,6 +48,7 @@
     handle: Handle,
     epoch: u64,
     task: AbortHandle,
+    verified: Verified,
 }
 
 #[derive(Default)]
@@ -99,6 +100,8 @@
     /// Another node has told which partitions it owns.
     pub fn told(&self, address: SocketAddr, owned: &[(u16, u64)]) {
         let mut table = self.lock();
+        let claimed = |number: &u16| owned.iter().any(|(claimed, _)| claimed == number);
+        table.others.retain(|number, (_, known)| *known != address || claimed(number));
         for (number, epoch) in owned {
             let known = table.others.get(number).map_or(0, |(epoch, _)| *epoch);
             if *epoch >= known {
@@ -117,6 +120,7 @@
             }
             let generation = self.lock().generation;
             let ttl = Millis(settings.membership_ms);
+            let asked = self.tools.context.clock.now();
             let joined = self.tools.store.join(GROUP, &self.member, TOPIC, generation, ttl).await;
             match joined {
                 Ok(assignment) => {
@@ -124,7 +128,7 @@
                     let lost = self.lose(&assignment);
                     let gives_up = !lost.is_empty();
                     release(lost).await;
-                    self.take(&assignment);
+                    self.take(&assignment, asked);
                     if gives_up || changed {
                         // What was given up is dealt on at the next renewal.
                         round = 0;
@@ -167,23 +171,28 @@
         lost.iter().filter_map(|number| table.owned.remove(number)).collect()
     }
 
-    /// Starts the owners of an assignment that aren't running.
-    fn take(&self, assignment: &log_store::Assignment) {
+    /// Starts the owners of an assignment that aren't running. The assignment held at `asked`.
+    fn take(&self, assignment: &log_store::Assignment, asked: Millis) {
         let mut table = self.lock();
         if table.left {
             return;
         }
         table.generation = assignment.generation;
         for number in &assignment.partitions {
-            let runs = table.owned.get(number).is_some_and(|owned| !owned.task.is_finished());
-            if runs {
+            if let Some(owned) = table.owned.get(number)
+                && !owned.task.is_finished()
+            {
+                owned.verified.set(asked);
                 continue;
             }
             table.starts = (table.starts + 1) % STARTS_PER_GENERATION;
             let epoch = assignment.generation * STARTS_PER_GENERATION + table.starts;
             let partition = Partition { topic: TOPIC.to_string(), number: *number };
-            let (handle, task) = owner::start(self.tools.clone(), partition, epoch);
-            table.owned.insert(*number, Owned { handle, epoch, task });
+            let verified = Verified::default();
+            verified.set(asked);
+            let (handle, task) =
+                owner::start(self.tools.clone(), partition, epoch, verified.clone());
+            table.owned.insert(*number, Owned { handle, epoch, task, verified });
         }
     }
 
--- a/serving/src/batch/owner.rs
+++ b/serving/src/batch/owner.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet, VecDeque},
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
 };
 
 use bytes::Bytes;
@@ -70,6 +73,9 @@
     pub results: Vec<(String, Outcome)>,
 }
 
+/// What an owner knows, `None` if there is no such thing, or that it can't be sure.
+type Found<T> = Result<Option<T>, Unavailable>;
+
 enum Command {
     Submit {
         id: JobId,
@@ -80,16 +86,16 @@
         id: JobId,
         after: usize,
         wait: Millis,
-        reply: oneshot::Sender<Option<Page>>,
+        reply: oneshot::Sender<Found<Page>>,
     },
     Body {
         id: JobId,
         item: String,
-        reply: oneshot::Sender<Option<Bytes>>,
+        reply: oneshot::Sender<Found<Bytes>>,
     },
     End {
         id: JobId,
-        reply: oneshot::Sender<bool>,
+        reply: oneshot::Sender<Found<()>>,
     },
     /// Stop running, save what there is and end; the reply comes when that is durable.
     Release {
@@ -97,6 +103,21 @@
     },
 }
 
+/// When the log last confirmed that an owner holds its partition. A later owner may have begun
+/// since, so what is older says nothing of jobs and results that an owner doesn't know.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Verified(Arc<AtomicU64>);
+
+impl Verified {
+    pub(super) fn set(&self, at: Millis) {
+        self.0.fetch_max(at.0, Ordering::Relaxed);
+    }
+
+    fn get(&self) -> Millis {
+        Millis(self.0.load(Ordering::Relaxed))
+    }
+}
+
 /// Reaches the owner of a partition at this node.
 #[derive(Clone, Debug)]
 pub struct Handle(mpsc::Sender<Command>);
@@ -120,17 +141,17 @@
         after: usize,
         wait: Millis,
     ) -> Result<Option<Page>, Unavailable> {
-        self.ask(|reply| Command::Read { id, after, wait, reply }).await
+        self.ask(|reply| Command::Read { id, after, wait, reply }).await?
     }
 
     /// The body of an item that isn't listed, unless its job has ended.
     pub async fn body(&self, id: JobId, item: String) -> Result<Option<Bytes>, Unavailable> {
-        self.ask(|reply| Command::Body { id, item, reply }).await
+        self.ask(|reply| Command::Body { id, item, reply }).await?
     }
 
-    /// Ends a job. Answers when that is durable; `false` means that there is no such job.
-    pub async fn end(&self, id: JobId) -> Result<bool, Unavailable> {
-        self.ask(|reply| Command::End { id, reply }).await
+    /// Ends a job. Answers when that is durable; `Ok(None)` means that there is no such job.
+    pub async fn end(&self, id: JobId) -> Result<Option<()>, Unavailable> {
+        self.ask(|reply| Command::End { id, reply }).await?
     }
 
     /// Makes the owner save its progress and end.
@@ -177,6 +198,7 @@
     writes: Vec<Write>,
     /// An earlier try may have taken effect: only the same append may follow.
     uncertain: bool,
+    begun: Millis,
     task: JoinHandle<log_store::Result<()>>,
 }
 
@@ -184,7 +206,7 @@
     id: JobId,
     after: usize,
     until: Instant,
-    reply: oneshot::Sender<Option<Page>>,
+    reply: oneshot::Sender<Found<Page>>,
 }
 
 struct Running {
@@ -197,10 +219,11 @@
     tools: Tools,
     partition: Partition,
     epoch: u64,
+    verified: Verified,
 ) -> (Handle, tokio::task::AbortHandle) {
     let (sender, commands) = mpsc::channel(COMMANDS);
     let task = tokio::spawn(async move {
-        if let Some(owner) = Owner::claim(tools, partition, epoch).await {
+        if let Some(owner) = Owner::claim(tools, partition, epoch, verified).await {
             owner.run(commands).await;
         }
     });
@@ -210,12 +233,13 @@
 struct Owner {
     tools: Tools,
     partition: Partition,
+    verified: Verified,
     producer: Producer,
     ledger: Ledger,
     writes: VecDeque<Write>,
     appending: Option<Appending>,
     submitters: BTreeMap<JobId, Vec<oneshot::Sender<Result<Accepted, Unavailable>>>>,
-    enders: BTreeMap<JobId, Vec<oneshot::Sender<bool>>>,
+    enders: BTreeMap<JobId, Vec<oneshot::Sender<Found<()>>>>,
     readers: Vec<Reader>,
     running: BTreeMap<ItemId, Running>,
     runs: JoinSet<Finished>,
@@ -233,7 +257,12 @@
 
 impl Owner {
     /// Fences earlier owners, then reads what they wrote. `None` when a later owner exists.
-    async fn claim(tools: Tools, partition: Partition, epoch: u64) -> Option<Owner> {
+    async fn claim(
+        tools: Tools,
+        partition: Partition,
+        epoch: u64,
+        verified: Verified,
+    ) -> Option<Owner> {
         let producer = Producer { name: "owner".to_string(), epoch, sequence: 0 };
         let begun = Instant::now();
         loop {
@@ -273,6 +302,7 @@
         Some(Owner {
             tools,
             partition,
+            verified,
             producer: Producer { sequence: 1, ..producer },
             ledger,
             writes: VecDeque::new(),
@@ -354,7 +384,7 @@
             }
             Command::Body { id, item, reply } => {
                 // The caller may have left.
-                let _ = reply.send(self.body(&id, &item));
+                let _ = reply.send(self.sure(self.body(&id, &item)));
             }
             Command::End { id, reply } => self.end(id, reply),
             Command::Release { reply } => {
@@ -429,10 +459,23 @@
         let _ = reply.send(Ok(answer));
     }
 
-    fn end(&mut self, id: JobId, reply: oneshot::Sender<bool>) {
+    /// What isn't known here may be known to a later owner, unless there can't be one yet.
+    fn sure<T>(&self, known: Option<T>) -> Found<T> {
+        if known.is_none() && !self.is_proven() {
+            return Err(Unavailable::NotAccepted);
+        }
+        Ok(known)
+    }
+
+    fn is_proven(&self) -> bool {
+        let age = self.tools.context.clock.now() - self.verified.get();
+        age <= Millis(self.tools.settings.proof_ms)
+    }
+
+    fn end(&mut self, id: JobId, reply: oneshot::Sender<Found<()>>) {
         let was_ended = self.ledger.job(&id).is_some_and(|job| job.ended);
         let Some(record) = self.ledger.end(&id) else {
-            let _ = reply.send(false);
+            let _ = reply.send(self.sure(None));
             return;
         };
         log::info!(job = id.0.as_str(), again = was_ended; "job ended by its caller");
@@ -472,7 +515,11 @@
         if is_empty && has_more_to_come && reader.until > now {
             return Some(reader);
         }
-        let _ = reader.reply.send(page);
+        let answer = match is_empty && !self.is_proven() {
+            true => Err(Unavailable::NotAccepted),
+            false => self.sure(page),
+        };
+        let _ = reader.reply.send(answer);
         None
     }
 
@@ -506,15 +553,19 @@
             sleep(delay.duration()).await;
             store.append(&partition, &producer, &records).await
         });
-        self.appending = Some(Appending { writes, uncertain, task });
+        let begun = self.tools.context.clock.now();
+        self.appending = Some(Appending { writes, uncertain, begun, task });
     }
 
     /// An append has ended. Tells whether the partition is still owned.
     fn appended(&mut self, result: log_store::Result<()>) -> bool {
-        let Some(Appending { writes, uncertain, .. }) = self.appending.take() else { return true };
+        let Some(Appending { writes, uncertain, begun, .. }) = self.appending.take() else {
+            return true;
+        };
         match result {
             Ok(()) => {
                 self.producer.sequence += 1;
+                self.verified.set(begun);
                 writes.into_iter().for_each(|write| self.durable(write.effect));
                 self.answer_readers(Instant::now());
                 self.schedule();
@@ -571,7 +622,7 @@
             }
             Effect::Ended(id) => {
                 for reply in self.enders.remove(&id).unwrap_or_default() {
-                    let _ = reply.send(true);
+                    let _ = reply.send(Ok(Some(())));
                 }
             }
             Effect::Saved => {}
--- a/serving/src/batch/settings.rs
+++ b/serving/src/batch/settings.rs
@@ -17,6 +17,9 @@
     pub membership_ms: u64,
     /// Milliseconds between two renewals of the membership.
     pub renewal_ms: u64,
+    /// Milliseconds after its last proof of ownership for which an owner says that there is no
+    /// such job or result. Below the time in which a result must be found at all nodes.
+    pub proof_ms: u64,
     /// Milliseconds between two looks at what may run.
     pub schedule_ms: u64,
     /// Milliseconds after which an item that failed is tried again.
@@ -38,7 +41,8 @@
             record_bytes: 256 << 10,
             append_bytes: 2 << 20,
             membership_ms: 2_000,
-            renewal_ms: 500,
+            renewal_ms: 250,
+            proof_ms: 700,
             schedule_ms: 40,
             retry_ms: 200,
             run_ms: 60_000,
--- /dev/null
+++ b/serving/tests/balance.rs
@@ -0,0 +1,183 @@
+//! Which upstream a request goes to, and when it is refused.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
+use serving::{
+    balance::{Class, Load, Outcome, Pick, Refusal, Settings, State, Want},
+    fleet::Entry,
+    id::{DataCentre, Service, Upstream, Vm},
+    time::Millis,
+};
+
+const SLOTS: u32 = 8;
+
+fn config() -> Config {
+    Config { rng_seed: RngSeed::Fixed(11), failure_persistence: None, ..Config::default() }
+}
+
+fn upstream(index: usize) -> Upstream {
+    Upstream(format!("replica-{index}"))
+}
+
+/// Upstreams in turn in the data centres `here` and `there`.
+fn fleet(count: usize) -> BTreeMap<Upstream, Entry> {
+    let entry = |index: usize| Entry {
+        service: Service::from("model"),
+        address: format!("10.0.0.{}:80", index + 1).parse().unwrap(),
+        data_centre: DataCentre::from(if index % 2 == 0 { "here" } else { "there" }),
+        slots: SLOTS,
+        draining: false,
+        started: 1,
+    };
+    (0..count).map(|index| (upstream(index), entry(index))).collect()
+}
+
+fn state(count: usize) -> State {
+    let mut state = State::new(Settings::default(), DataCentre::from("here"), 1);
+    state.update(&fleet(count));
+    state
+}
+
+fn choose(state: &mut State, now: u64, class: Class) -> Result<Pick, Refusal> {
+    let service = Service::from("model");
+    state.choose(Millis(now), Want { service: &service, class, avoid: &BTreeSet::new() })
+}
+
+fn told(state: &mut State, now: u64, vm: &str, loads: &[(usize, u32)]) {
+    let load = |online| Load { online, batch: 0 };
+    let loads = loads.iter().map(|(index, online)| (upstream(*index), load(*online))).collect();
+    state.told(Millis(now), &Vm::from(vm), &loads);
+}
+
+#[test]
+fn least_loaded_upstream_is_chosen() {
+    let mut state = state(3);
+    told(&mut state, 0, "other", &[(0, 5), (1, 7)]);
+    assert_eq!(choose(&mut state, 10, Class::Online).unwrap().upstream, upstream(2));
+}
+
+#[test]
+fn own_data_centre_is_preferred_up_to_the_bias() {
+    let mut state = state(2);
+    told(&mut state, 0, "other", &[(0, 1)]);
+    assert_eq!(choose(&mut state, 10, Class::Online).unwrap().upstream, upstream(0));
+    told(&mut state, 20, "other", &[(0, 4)]);
+    assert_eq!(choose(&mut state, 30, Class::Online).unwrap().upstream, upstream(1));
+}
+
+#[test]
+fn burst_is_refused_once_no_upstream_can_answer_in_time() {
+    let mut state = state(2);
+    let room = 2 * (SLOTS + Settings::default().queue_per_upstream);
+    for _ in 0..room {
+        choose(&mut state, 0, Class::Online).unwrap();
+    }
+    let refusal = choose(&mut state, 0, Class::Online).unwrap_err();
+    assert!(matches!(refusal, Refusal::Full { .. }));
+}
+
+#[test]
+fn refused_callers_come_back_at_different_times() {
+    let mut state = state(1);
+    let times: BTreeSet<Millis> = (0..50).map(|_| state.retry_after()).collect();
+    let settings = Settings::default();
+    assert!(times.len() > 20);
+    assert!(times.iter().all(|at| at.0 >= settings.retry_after_ms));
+    assert!(times.iter().all(|at| at.0 <= settings.retry_after_ms + settings.retry_spread_ms));
+}
+
+#[test]
+fn batch_leaves_slots_to_online_requests() {
+    let mut state = state(1);
+    let mut started = 0;
+    while choose(&mut state, 0, Class::Batch).is_ok() {
+        started += 1;
+    }
+    assert_eq!(started, SLOTS - Settings::default().batch_reserve);
+    assert!(choose(&mut state, 0, Class::Online).is_ok());
+}
+
+#[test]
+fn burst_over_running_batch_shows_what_must_make_room() {
+    let mut state = state(1);
+    while choose(&mut state, 0, Class::Batch).is_ok() {}
+    choose(&mut state, 0, Class::Online).unwrap();
+    assert!(state.overfull(Millis(0)).is_empty());
+    choose(&mut state, 0, Class::Online).unwrap();
+    assert_eq!(state.overfull(Millis(0)), BTreeMap::from([(upstream(0), 1)]));
+}
+
+#[test]
+fn draining_upstream_gets_nothing() {
+    let mut entries = fleet(2);
+    entries.get_mut(&upstream(0)).unwrap().draining = true;
+    let mut state = state(2);
+    state.update(&entries);
+    for _ in 0..5 {
+        assert_eq!(choose(&mut state, 0, Class::Online).unwrap().upstream, upstream(1));
+    }
+}
+
+#[test]
+fn failed_upstream_is_left_alone_for_a_while_unless_it_is_the_only_one() {
+    let mut state = state(2);
+    let pick = choose(&mut state, 0, Class::Online).unwrap();
+    state.end(Millis(0), &pick, Outcome::Failed);
+    assert_ne!(choose(&mut state, 1, Class::Online).unwrap().upstream, pick.upstream);
+    let mut single = self::state(1);
+    let pick = choose(&mut single, 0, Class::Online).unwrap();
+    single.end(Millis(0), &pick, Outcome::Failed);
+    assert_eq!(choose(&mut single, 1, Class::Online).unwrap().upstream, pick.upstream);
+}
+
+#[test]
+fn upstream_that_refused_counts_as_full_for_a_moment() {
+    let mut state = state(1);
+    let pick = choose(&mut state, 0, Class::Online).unwrap();
+    state.end(Millis(0), &pick, Outcome::Full);
+    assert!(choose(&mut state, 1, Class::Online).is_err());
+    assert!(choose(&mut state, Settings::default().full_ms + 1, Class::Online).is_ok());
+}
+
+#[test]
+fn load_of_a_silent_node_expires() {
+    let mut state = state(1);
+    told(&mut state, 0, "other", &[(0, 100)]);
+    assert!(choose(&mut state, 10, Class::Online).is_err());
+    assert!(choose(&mut state, Settings::default().load_expiry_ms, Class::Online).is_ok());
+}
+
+#[test]
+fn upstream_that_started_anew_has_no_history() {
+    let mut state = state(1);
+    while choose(&mut state, 0, Class::Online).is_ok() {}
+    let mut entries = fleet(1);
+    entries.get_mut(&upstream(0)).unwrap().started = 2;
+    state.update(&entries);
+    assert!(choose(&mut state, 0, Class::Online).is_ok());
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// What is chosen is counted, and ending it gives the room back.
+    #[test]
+    fn in_flight_is_balanced(choices in prop::collection::vec(any::<bool>(), 1..200)) {
+        let mut state = state(3);
+        let mut picks = Vec::new();
+        for (now, start) in choices.into_iter().enumerate() {
+            let now = now as u64;
+            if start {
+                picks.extend(choose(&mut state, now, Class::Online));
+            } else if let Some(pick) = picks.pop() {
+                state.end(Millis(now), &pick, Outcome::Succeeded);
+            }
+            let counted: u32 = state.own().values().map(|load| load.total()).sum();
+            prop_assert_eq!(counted as usize, picks.len());
+        }
+    }
+}
--- /dev/null
+++ b/serving/tests/events.rs
@@ -0,0 +1,69 @@
+//! Streams are cut into whole events wherever their bytes are split.
+
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
+use serving::exchange::events::{Event, Splitter};
+
+fn config() -> Config {
+    Config { rng_seed: RngSeed::Fixed(13), failure_persistence: None, ..Config::default() }
+}
+
+fn split(chunks: &[&[u8]]) -> (Vec<Event>, bool) {
+    let mut splitter = Splitter::default();
+    let mut events = Vec::new();
+    for chunk in chunks {
+        splitter.push(chunk);
+        while let Some(event) = splitter.next() {
+            events.push(event);
+        }
+    }
+    (events, splitter.is_partial())
+}
+
+#[test]
+fn event_ends_at_its_blank_line() {
+    let (events, partial) = split(&[b"id: 7\ndata: a\ndata: b\n\nid: 8\nda"]);
+    assert_eq!(events.len(), 1);
+    assert_eq!(events[0].id, Some(7));
+    assert_eq!(events[0].data(), b"a\nb");
+    assert_eq!(&events[0].bytes[..], b"id: 7\ndata: a\ndata: b\n\n");
+    assert!(partial, "an unfinished event is held back");
+}
+
+#[test]
+fn carriage_returns_and_missing_spaces_are_understood() {
+    let (events, partial) = split(&[b"id:1\r\ndata:x\r\n\r\n"]);
+    assert_eq!((events[0].id, events[0].data()), (Some(1), b"x".to_vec()));
+    assert!(!partial);
+}
+
+#[test]
+fn other_fields_are_not_data() {
+    let (events, _) = split(&[b"x-weights: 3\nid: 1\ndata: x\n\n: comment\n\n"]);
+    assert_eq!(events[0].data(), b"x");
+    assert!(!events[1].has_data());
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn splits_do_not_matter(
+        texts in prop::collection::vec("[a-z ]{0,20}", 1..20),
+        cuts in prop::collection::vec(0usize..400, 0..20),
+    ) {
+        let mut stream = Vec::new();
+        for (index, text) in texts.iter().enumerate() {
+            stream.extend_from_slice(format!("id: {index}\ndata: {text}\n\n").as_bytes());
+        }
+        let mut cuts: Vec<usize> = cuts.into_iter().map(|cut| cut.min(stream.len())).collect();
+        cuts.extend([0, stream.len()]);
+        cuts.sort_unstable();
+        let chunks: Vec<&[u8]> = cuts.windows(2).map(|cut| &stream[cut[0]..cut[1]]).collect();
+        let (events, partial) = split(&chunks);
+        prop_assert!(!partial);
+        prop_assert_eq!(events, split(&[&stream]).0);
+    }
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod engine;
 pub mod experiment;
 pub mod fleet;
+pub mod keyed_log;
 pub mod log_service;
 pub mod plain;
 pub mod proxy;
