--- a/serving/src/batch/ledger.rs
+++ b/serving/src/batch/ledger/mod.rs
@@ -3,122 +3,18 @@
 //! A job or result exists for callers once its record is durable. The owner of the partition
 //! confirms each write; results of a job are listed in the order of their records.
 
-use std::collections::{BTreeMap, BTreeSet};
+mod job;
+mod restore;
 
-use bytes::Bytes;
-use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::{id::Job as JobId, log_store, time::Millis};
 
 use super::record::{self, Head, Key, Outcome, State};
 
-/// Names an item of a job.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct ItemId {
-    pub job: JobId,
-    pub index: u32,
-}
-
-/// What is left of an item between two runs.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Progress {
-    /// The data of the events so far, joined by line feeds.
-    pub output: Vec<u8>,
-    /// Whole events received.
-    pub events: u64,
-    /// The number of the last one.
-    pub last_event: Option<u64>,
-}
-
-/// Where an item stands.
-#[derive(Clone, Debug, PartialEq, Eq)]
-enum Stage {
-    Waiting {
-        progress: Progress,
-        not_before: Millis,
-    },
-    Running,
-    /// Its result has been decided.
-    Done,
-}
-
-#[derive(Clone, Debug)]
-struct Tracked {
-    stage: Stage,
-    /// Answers of 500 so far.
-    failures: u32,
-    /// A record of its progress is in the log.
-    saved: bool,
-}
-
-/// One job.
-#[derive(Clone, Debug)]
-pub struct Job {
-    pub head: Head,
-    /// Results in the order of their records; those beyond `listed` aren't durable yet.
-    pub results: Vec<Outcome>,
-    pub listed: usize,
-    /// The caller has ended the job.
-    pub ended: bool,
-    /// The job's records are durable.
-    pub durable: bool,
-    /// Records that hold the head.
-    chunks: u32,
-    /// When its results are due, on the clock of this process.
-    pub due: Millis,
-    items: Vec<Tracked>,
-    /// Tokens of items without a result.
-    pub waiting_tokens: u64,
-}
-
-impl Job {
-    fn new(head: Head, due: Millis, chunks: usize) -> Job {
-        let tracked = Tracked {
-            stage: Stage::Waiting { progress: Progress::default(), not_before: Millis(0) },
-            failures: 0,
-            saved: false,
-        };
-        let items = vec![tracked; head.items.len()];
-        let waiting_tokens = head.items.iter().map(|item| item.tokens).sum();
-        Job {
-            head,
-            results: Vec::new(),
-            listed: 0,
-            ended: false,
-            durable: false,
-            chunks: chunks as u32,
-            due,
-            items,
-            waiting_tokens,
-        }
-    }
-
-    /// Whether nothing is left to do.
-    pub fn is_complete(&self) -> bool {
-        self.results.len() == self.items.len()
-    }
-
-    /// An item goes on behind what an earlier owner has saved.
-    fn resume(&mut self, item: u32, progress: Progress) {
-        let Some(tracked) = self.items.get_mut(item as usize) else { return };
-        tracked.saved = true;
-        if let Stage::Waiting { progress: held, .. } = &mut tracked.stage {
-            *held = progress;
-        }
-    }
+use job::{Stage, Tracked};
 
-    fn finish(&mut self, outcome: Outcome) -> Option<u32> {
-        let index = outcome.item as usize;
-        let tracked = self.items.get_mut(index)?;
-        if tracked.stage == Stage::Done {
-            return None;
-        }
-        tracked.stage = Stage::Done;
-        self.waiting_tokens -= self.head.items[index].tokens;
-        self.results.push(outcome);
-        Some(self.results.len() as u32 - 1)
-    }
-}
+pub use job::{ItemId, Job, Progress};
 
 /// What becomes of a submission.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -156,79 +52,6 @@
 }
 
 impl Ledger {
-    /// Rebuilds the ledger from the newest records of its partition. `wall` and `now` are the
-    /// same instant; `due_after` gives the time for the results of a head.
-    pub fn restore(
-        records: &[log_store::Record],
-        wall: u64,
-        now: Millis,
-        due_after: impl Fn(&Head) -> Millis,
-    ) -> Ledger {
-        let mut heads: BTreeMap<JobId, BTreeMap<u32, Bytes>> = BTreeMap::new();
-        let mut outcomes: BTreeMap<JobId, BTreeMap<u32, Outcome>> = BTreeMap::new();
-        let mut progress: BTreeMap<JobId, BTreeMap<u32, Progress>> = BTreeMap::new();
-        let mut ended = BTreeSet::new();
-        for entry in records {
-            let (Some(key), Some(value)) = (Key::decode(&entry.key), &entry.value) else {
-                log::warn!(key = entry.key.as_str(); "batch record can't be read");
-                continue;
-            };
-            match key {
-                Key::Head { job, chunk } => {
-                    heads.entry(job).or_default().insert(chunk, value.clone());
-                }
-                Key::Outcome { job, position } => match postcard::from_bytes(value) {
-                    Ok(outcome) => {
-                        outcomes.entry(job).or_default().insert(position, outcome);
-                    }
-                    Err(error) => {
-                        log::error!(key = entry.key.as_str(), error:% = error; "result can't be read");
-                    }
-                },
-                Key::Progress { job, item } => match postcard::from_bytes(value) {
-                    Ok(saved) => {
-                        progress.entry(job).or_default().insert(item, saved);
-                    }
-                    Err(error) => {
-                        log::warn!(key = entry.key.as_str(), error:% = error; "progress can't be read; the item starts anew");
-                    }
-                },
-                Key::Ended { job } => {
-                    ended.insert(job);
-                }
-            }
-        }
-        let mut ledger = Ledger::default();
-        for (id, chunks) in heads {
-            let head = match record::join_head(&chunks) {
-                Some(Ok(head)) => head,
-                Some(Err(error)) => {
-                    log::error!(job = id.0.as_str(), error:% = error; "job can't be read");
-                    continue;
-                }
-                None => {
-                    log::error!(job = id.0.as_str(); "job lacks a part of its head");
-                    continue;
-                }
-            };
-            let age = Millis(wall.saturating_sub(head.accepted));
-            let due = now + due_after(&head) - age;
-            let mut job = Job::new(head, due, chunks.len());
-            job.durable = true;
-            for (_, outcome) in outcomes.remove(&id).unwrap_or_default() {
-                job.finish(outcome);
-            }
-            for (item, progress) in progress.remove(&id).unwrap_or_default() {
-                job.resume(item, progress);
-            }
-            job.listed = job.results.len();
-            job.ended = ended.contains(&id);
-            ledger.jobs.insert(id.clone(), job);
-            ledger.make_ready(&id);
-        }
-        ledger
-    }
-
     pub fn job(&self, id: &JobId) -> Option<&Job> {
         self.jobs.get(id)
     }
--- a/serving/src/batch/run.rs
+++ b/serving/src/batch/run.rs
@@ -127,7 +127,7 @@
                 };
             };
             splitter.push(&bytes);
-            while let Some(event) = splitter.next() {
+            for event in splitter.by_ref() {
                 self.progress.take(&event).map_err(broken)?;
             }
             if self.progress.events >= saved + self.settings.save_events {
--- a/serving/src/exchange/events.rs
+++ b/serving/src/exchange/events.rs
@@ -43,15 +43,6 @@
         self.pending.extend_from_slice(bytes);
     }
 
-    /// The next whole event.
-    pub fn next(&mut self) -> Option<Event> {
-        let end = end_of_event(&self.pending)?;
-        let bytes = self.pending.split_to(end).freeze();
-        let id = fields(&bytes, b"id").last();
-        let id = id.and_then(|id| std::str::from_utf8(id).ok()?.trim().parse().ok());
-        Some(Event { id, bytes })
-    }
-
     /// Whether bytes of an unfinished event are held.
     pub fn is_partial(&self) -> bool {
         !self.pending.is_empty()
@@ -63,6 +54,19 @@
     }
 }
 
+/// Whole events, as far as there are any.
+impl Iterator for Splitter {
+    type Item = Event;
+
+    fn next(&mut self) -> Option<Event> {
+        let end = end_of_event(&self.pending)?;
+        let bytes = self.pending.split_to(end).freeze();
+        let id = fields(&bytes, b"id").last();
+        let id = id.and_then(|id| std::str::from_utf8(id).ok()?.trim().parse().ok());
+        Some(Event { id, bytes })
+    }
+}
+
 /// The position behind the first blank line.
 fn end_of_event(bytes: &[u8]) -> Option<usize> {
     let mut line_start = 0;
--- a/serving/src/exchange/relay.rs
+++ b/serving/src/exchange/relay.rs
@@ -32,7 +32,7 @@
     pub(super) state: State,
     pub(super) trace: Trace,
     pub(super) lease: Lease,
-    pub(super) source: Source,
+    pub(super) source: Box<Source>,
     pub(super) sender: mpsc::Sender<Result<Bytes, Broken>>,
     pub(super) fingerprint: Fingerprint,
 }
--- a/serving/src/exchange/task.rs
+++ b/serving/src/exchange/task.rs
@@ -114,7 +114,7 @@
 /// What one send gave.
 pub(super) enum Given {
     Whole { parts: http::response::Parts, body: Bytes },
-    Stream { parts: http::response::Parts, source: Source },
+    Stream { parts: http::response::Parts, source: Box<Source> },
 }
 
 /// A stream that has begun.
@@ -259,7 +259,7 @@
         }
         let mut source = Source { body: answer.body, splitter: Splitter::default(), first: None };
         source.first = source.next().await?;
-        Ok(Given::Stream { parts: answer.parts, source })
+        Ok(Given::Stream { parts: answer.parts, source: Box::new(source) })
     };
     match tokio::time::timeout((silent_until - now).duration(), sending).await {
         Ok(result) => result,
--- a/serving/tests/balance.rs
+++ b/serving/tests/balance.rs
@@ -28,7 +28,7 @@
     let entry = |index: usize| Entry {
         service: Service::from("model"),
         address: format!("10.0.0.{}:80", index + 1).parse().unwrap(),
-        data_centre: DataCentre::from(if index % 2 == 0 { "here" } else { "there" }),
+        data_centre: DataCentre::from(if index.is_multiple_of(2) { "here" } else { "there" }),
         slots: SLOTS,
         draining: false,
         started: 1,
--- a/serving/tests/events.rs
+++ b/serving/tests/events.rs
@@ -15,9 +15,7 @@
     let mut events = Vec::new();
     for chunk in chunks {
         splitter.push(chunk);
-        while let Some(event) = splitter.next() {
-            events.push(event);
-        }
+        events.extend(splitter.by_ref());
     }
     (events, splitter.is_partial())
 }
