feat(batch): jobs spread over all partitions, with one keeper for each route's quota

Change: the job's id picks the partition; the owner of the route's own partition grants tokens, owners report what waits in the datagrams between nodes. Nodes start and pause only their share of items. Sums of loads are kept instead of added up for each choice; upstreams have short names in datagrams.

--- a/serving/src/balance/mod.rs
+++ b/serving/src/balance/mod.rs
@@ -5,4 +5,4 @@
 mod state;
 
 pub use settings::Settings;
-pub use state::{Class, Load, Outcome, Pick, Refusal, State, Want};
+pub use state::{Class, Load, Loads, Outcome, Pick, Refusal, State, Tag, Want};
--- a/serving/src/balance/replica.rs
+++ b/serving/src/balance/replica.rs
@@ -1,8 +1,6 @@
 //! What a node knows of the load and health of one upstream.
 
-use std::collections::BTreeMap;
-
-use crate::{fleet::Entry, id::Vm, time::Millis};
+use crate::{fleet::Entry, time::Millis};
 
 use super::{Load, Settings, state::Class};
 
@@ -12,8 +10,8 @@
     pub(super) entry: Entry,
     /// Requests of this node in flight.
     pub(super) own: Load,
-    /// Requests of other nodes in flight, and when each node told so.
-    pub(super) others: BTreeMap<Vm, (Millis, Load)>,
+    /// Requests of other nodes in flight, as they told last.
+    pub(super) others: Load,
     /// The upstream refused a request for lack of room; until then it counts as full.
     pub(super) full_until: Millis,
     /// No request is sent before this time, but for lack of another upstream.
@@ -27,7 +25,7 @@
         Replica {
             entry,
             own: Load::default(),
-            others: BTreeMap::new(),
+            others: Load::default(),
             full_until: Millis(0),
             ejected_until: Millis(0),
             failures: 0,
@@ -35,16 +33,8 @@
     }
 
     /// Requests in flight from all nodes.
-    pub(super) fn load(&self, now: Millis, settings: &Settings) -> Load {
-        let expiry = Millis(settings.load_expiry_ms);
-        let mut load = self.own;
-        for (told, other) in self.others.values() {
-            if now - *told < expiry {
-                load.online += other.online;
-                load.batch += other.batch;
-            }
-        }
-        load
+    pub(super) fn load(&self) -> Load {
+        self.own + self.others
     }
 
     /// Whether there is room for one more request of `class`.
@@ -52,10 +42,10 @@
         if now < self.full_until {
             return false;
         }
-        let load = self.load(now, settings);
+        let load = self.load().total();
         match class {
-            Class::Online => load.total() < self.entry.slots + settings.queue_per_upstream,
-            Class::Batch => load.total() + settings.batch_reserve < self.entry.slots,
+            Class::Online => load < self.entry.slots + settings.queue_per_upstream,
+            Class::Batch => load + settings.batch_reserve < self.entry.slots,
         }
     }
 
--- a/serving/src/balance/state.rs
+++ b/serving/src/balance/state.rs
@@ -6,10 +6,12 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
+    ops::{Add, Sub},
 };
 
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     fleet::Entry,
@@ -26,12 +28,45 @@
     pub batch: u32,
 }
 
+impl Add for Load {
+    type Output = Load;
+
+    fn add(self, other: Load) -> Load {
+        Load { online: self.online + other.online, batch: self.batch + other.batch }
+    }
+}
+
+/// Stops at zero.
+impl Sub for Load {
+    type Output = Load;
+
+    fn sub(self, other: Load) -> Load {
+        Load {
+            online: self.online.saturating_sub(other.online),
+            batch: self.batch.saturating_sub(other.batch),
+        }
+    }
+}
+
 impl Load {
     pub fn total(self) -> u32 {
         self.online + self.batch
     }
 }
 
+/// A short name of an upstream in messages between nodes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Tag(u32);
+
+impl Tag {
+    pub fn of(upstream: &Upstream) -> Tag {
+        Tag(xxh3_64(upstream.0.as_bytes()) as u32)
+    }
+}
+
+/// Requests in flight by upstream, without those that have none.
+pub type Loads = BTreeMap<Tag, Load>;
+
 /// Who a request is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Class {
@@ -85,11 +120,24 @@
     home: DataCentre,
     rng: SmallRng,
     replicas: BTreeMap<Upstream, Replica>,
+    tags: BTreeMap<Tag, Upstream>,
+    /// What each other node told last, and when. Summed up in `Replica::others`.
+    nodes: BTreeMap<Vm, (Millis, Loads)>,
+    /// No node's news expire before this time.
+    next_expiry: Millis,
 }
 
 impl State {
     pub fn new(settings: Settings, home: DataCentre, seed: u64) -> State {
-        State { settings, home, rng: SmallRng::seed_from_u64(seed), replicas: BTreeMap::new() }
+        State {
+            settings,
+            home,
+            rng: SmallRng::seed_from_u64(seed),
+            replicas: BTreeMap::new(),
+            tags: BTreeMap::new(),
+            nodes: BTreeMap::new(),
+            next_expiry: Millis(0),
+        }
     }
 
     /// Takes over the entries of the fleet. What is known of staying upstreams is kept; one that
@@ -104,31 +152,32 @@
                 .entry(upstream.clone())
                 .or_insert_with(|| Replica::new(entry.clone()));
             replica.entry = entry.clone();
+            replica.others = Load::default();
+        }
+        self.tags = self.replicas.keys().map(|id| (Tag::of(id), id.clone())).collect();
+        for (_, loads) in self.nodes.clone().into_values() {
+            self.sum(&loads, Load::add);
         }
     }
 
-    /// Takes in the requests that another node has in flight, by upstream.
-    pub fn told(&mut self, now: Millis, vm: &Vm, loads: &BTreeMap<Upstream, Load>) {
-        for (upstream, replica) in &mut self.replicas {
-            match loads.get(upstream) {
-                Some(load) => {
-                    replica.others.insert(vm.clone(), (now, *load));
-                }
-                None => {
-                    replica.others.remove(vm);
-                }
-            }
+    /// Takes in the requests that another node has in flight.
+    pub fn told(&mut self, now: Millis, vm: &Vm, loads: Loads) {
+        self.expire(now);
+        self.sum(&loads, Load::add);
+        if let Some((_, before)) = self.nodes.insert(vm.clone(), (now, loads)) {
+            self.sum(&before, Load::sub);
         }
     }
 
-    /// The requests that this node has in flight, by upstream, without those that have none.
-    pub fn own(&self) -> BTreeMap<Upstream, Load> {
+    /// The requests that this node has in flight.
+    pub fn own(&self) -> Loads {
         let busy = self.replicas.iter().filter(|(_, replica)| replica.own.total() > 0);
-        busy.map(|(upstream, replica)| (upstream.clone(), replica.own)).collect()
+        busy.map(|(upstream, replica)| (Tag::of(upstream), replica.own)).collect()
     }
 
     /// Chooses an upstream and counts the request as in flight there.
     pub fn choose(&mut self, now: Millis, want: Want<'_>) -> Result<Pick, Refusal> {
+        self.expire(now);
         let candidates: Vec<&Upstream> = self
             .replicas
             .iter()
@@ -158,7 +207,7 @@
                 true => 0.0,
                 false => self.settings.data_centre_bias,
             };
-            let load = f64::from(replica.load(now, &self.settings).total());
+            let load = f64::from(replica.load().total());
             // The fraction breaks ties at random, so that nodes with the same news spread out.
             let score = load + distance + self.rng.random::<f64>() * 0.5;
             if best.as_ref().is_none_or(|(lowest, _)| score < *lowest) {
@@ -168,7 +217,7 @@
         let Some((_, upstream)) = best else {
             return Err(Refusal::Full { retry_after: self.retry_after() });
         };
-        Ok(self.start(now, upstream, want.class))
+        Ok(self.start(upstream, want.class))
     }
 
     /// A request has ended.
@@ -200,29 +249,79 @@
             if replica.ejected_until > now {
                 continue;
             }
-            let load = replica.load(now, &self.settings);
-            sum.online += load.online;
-            sum.batch += load.batch;
+            let load = replica.load();
+            sum = sum + load;
             slots += replica.entry.slots;
         }
         (sum, slots)
     }
 
-    /// Upstreams that hold more than their slots, with the number of requests beyond them.
-    pub fn overfull(&self, now: Millis) -> BTreeMap<Upstream, u32> {
+    /// Batch requests of this node that are to make room, by upstream: its share of those beyond
+    /// the slots, so that nodes with the same news don't all pause theirs.
+    pub fn overfull(&mut self) -> BTreeMap<Upstream, u32> {
         let mut overfull = BTreeMap::new();
         for (upstream, replica) in &self.replicas {
-            let excess =
-                replica.load(now, &self.settings).total().saturating_sub(replica.entry.slots);
-            if excess > 0 {
-                overfull.insert(upstream.clone(), excess);
+            let load = replica.load();
+            let excess = load.total().saturating_sub(replica.entry.slots).min(load.batch);
+            if excess == 0 || replica.own.batch == 0 {
+                continue;
+            }
+            let share = f64::from(excess) * f64::from(replica.own.batch) / f64::from(load.batch);
+            let rounded_up = self.rng.random::<f64>() < share.fract();
+            let count = share as u32 + u32::from(rounded_up);
+            if count > 0 {
+                overfull.insert(upstream.clone(), count);
             }
         }
         overfull
     }
 
-    fn start(&mut self, now: Millis, upstream: Upstream, class: Class) -> Pick {
-        let load = self.replicas[&upstream].load(now, &self.settings).total();
+    /// Batch requests that may start now over all upstreams of `service`.
+    pub fn batch_room(&self, now: Millis, service: &Service) -> u32 {
+        let reserve = self.settings.batch_reserve;
+        let room = |replica: &Replica| {
+            replica.entry.slots.saturating_sub(replica.load().total() + reserve)
+        };
+        let open = |replica: &&Replica| {
+            replica.entry.service == *service
+                && !replica.entry.draining
+                && replica.ejected_until <= now
+        };
+        self.replicas.values().filter(open).map(room).sum()
+    }
+
+    /// Forgets what nodes told too long ago.
+    fn expire(&mut self, now: Millis) {
+        if now < self.next_expiry {
+            return;
+        }
+        let expiry = Millis(self.settings.load_expiry_ms);
+        let old: Vec<Vm> = self
+            .nodes
+            .iter()
+            .filter(|(_, (told, _))| now - *told >= expiry)
+            .map(|(vm, _)| vm.clone())
+            .collect();
+        for vm in old {
+            if let Some((_, loads)) = self.nodes.remove(&vm) {
+                self.sum(&loads, Load::sub);
+            }
+        }
+        let oldest = self.nodes.values().map(|(told, _)| *told).min().unwrap_or(now);
+        self.next_expiry = oldest + expiry;
+    }
+
+    fn sum(&mut self, loads: &Loads, change: fn(Load, Load) -> Load) {
+        for (tag, load) in loads {
+            let upstream = self.tags.get(tag);
+            if let Some(replica) = upstream.and_then(|id| self.replicas.get_mut(id)) {
+                replica.others = change(replica.others, *load);
+            }
+        }
+    }
+
+    fn start(&mut self, upstream: Upstream, class: Class) -> Pick {
+        let load = self.replicas[&upstream].load().total();
         let address = self.replicas[&upstream].entry.address;
         if let Some(replica) = self.replicas.get_mut(&upstream) {
             match class {
--- a/serving/src/batch/group.rs
+++ b/serving/src/batch/group.rs
@@ -1,22 +1,23 @@
 //! Shares the partitions of the jobs among the nodes.
 
-use std::{
-    collections::BTreeMap,
-    net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
-};
+use std::{net::SocketAddr, sync::Arc};
 
-use tokio::{
-    task::AbortHandle,
-    time::{sleep, timeout},
-};
-use xxhash_rust::xxh3::xxh3_64;
+use tokio::time::{sleep, timeout};
 
-use crate::{catalog, exchange::Context, log_store, log_store::Partition, time::Millis};
+use crate::{
+    catalog,
+    exchange::Context,
+    log_store::{self, Partition},
+    time::Millis,
+    upstream::Pool,
+};
 
 use super::{
     Settings,
-    owner::{self, Handle, Tools, Verified},
+    directory::{Directory, Owned, Place},
+    keeper,
+    owner::{self, Tools, Verified},
+    quota::Report,
 };
 
 /// The topic of jobs and results.
@@ -30,42 +31,11 @@
 /// Renewals between two looks at the owners of all partitions, once they are known.
 const OWNERS_EVERY: u32 = 20;
 
-/// The partition of a host's jobs. One partition holds all jobs of a host, so that one owner
-/// counts the tokens that wait on its routes.
-pub fn partition(host: &str, partitions: u16) -> u16 {
-    (xxh3_64(host.as_bytes()) % u64::from(partitions.max(1))) as u16
-}
-
-/// Where the owner of a partition is.
-#[derive(Clone, Debug)]
-pub enum Place {
-    Here(Handle),
-    Peer(SocketAddr),
-    Unknown,
-}
-
-struct Owned {
-    handle: Handle,
-    epoch: u64,
-    task: AbortHandle,
-    verified: Verified,
-}
-
-#[derive(Default)]
-struct Table {
-    owned: BTreeMap<u16, Owned>,
-    /// Owners at other nodes with their epochs.
-    others: BTreeMap<u16, (u64, SocketAddr)>,
-    generation: u64,
-    starts: u64,
-    left: bool,
-}
-
 /// This node's part in the group.
 pub struct Group {
     tools: Tools,
+    directory: Arc<Directory>,
     member: String,
-    table: Mutex<Table>,
 }
 
 impl Group {
@@ -74,40 +44,35 @@
         context: Arc<Context>,
         catalog: catalog::Shared,
         store: log_store::Shared,
+        peers: Arc<Pool>,
         settings: Settings,
         address: SocketAddr,
         incarnation: u64,
     ) -> Group {
-        let tools = Tools { context, catalog, store, settings };
-        Group { tools, member: format!("{address}/{incarnation:x}"), table: Mutex::default() }
+        let directory = Arc::new(Directory::new(settings.partitions));
+        let keeper = keeper::Client { directory: Arc::clone(&directory), peers };
+        let tools = Tools { context, catalog, store, settings, keeper };
+        Group { tools, directory, member: format!("{address}/{incarnation:x}") }
     }
 
-    /// Where the jobs of `host` are.
-    pub fn place(&self, host: &str) -> Place {
-        let number = partition(host, self.tools.settings.partitions);
-        let table = self.lock();
-        if let Some(owned) = table.owned.get(&number) {
-            return Place::Here(owned.handle.clone());
-        }
-        table.others.get(&number).map_or(Place::Unknown, |(_, address)| Place::Peer(*address))
+    /// Where the job with this id is.
+    pub fn place(&self, job: &str) -> Place {
+        self.directory.place(job)
     }
 
-    /// The partitions of this node and their epochs.
-    pub fn owned(&self) -> Vec<(u16, u64)> {
-        self.lock().owned.iter().map(|(number, owned)| (*number, owned.epoch)).collect()
+    /// The partitions of this node with the tokens that wait there.
+    pub fn reports(&self) -> Vec<(u16, Report)> {
+        self.directory.reports()
     }
 
     /// Another node has told which partitions it owns.
-    pub fn told(&self, address: SocketAddr, owned: &[(u16, u64)]) {
-        let mut table = self.lock();
-        let claimed = |number: &u16| owned.iter().any(|(claimed, _)| claimed == number);
-        table.others.retain(|number, (_, known)| *known != address || claimed(number));
-        for (number, epoch) in owned {
-            let known = table.others.get(number).map_or(0, |(epoch, _)| *epoch);
-            if *epoch >= known {
-                table.others.insert(*number, (*epoch, address));
-            }
-        }
+    pub fn told(&self, address: SocketAddr, reports: Vec<(u16, Report)>) {
+        self.directory.told(address, reports);
+    }
+
+    /// Answers another node's call for room in a quota that this node keeps.
+    pub async fn reserve(&self, body: &[u8]) -> Option<Vec<u8>> {
+        keeper::answer(&self.directory, body).await
     }
 
     /// Stays in the group until `leave`. `found` gets the addresses of other members.
@@ -115,10 +80,13 @@
         let settings = &self.tools.settings;
         let mut round = 0;
         loop {
-            if self.lock().left {
+            let (generation, left) = {
+                let table = self.directory.lock();
+                (table.generation, table.left)
+            };
+            if left {
                 return;
             }
-            let generation = self.lock().generation;
             let ttl = Millis(settings.membership_ms);
             let asked = self.tools.context.clock.now();
             let joined = self.tools.store.join(GROUP, &self.member, TOPIC, generation, ttl).await;
@@ -150,7 +118,7 @@
     /// Gives all partitions back, so that others take them over at once.
     pub async fn leave(&self) {
         let owned = {
-            let mut table = self.lock();
+            let mut table = self.directory.lock();
             table.left = true;
             std::mem::take(&mut table.owned)
         };
@@ -162,7 +130,7 @@
 
     /// Takes out the owners of partitions that are to go to others.
     fn lose(&self, assignment: &log_store::Assignment) -> Vec<Owned> {
-        let mut table = self.lock();
+        let mut table = self.directory.lock();
         let kept = |number: &u16| assignment.partitions.contains(number);
         let lost: Vec<u16> = table.owned.keys().filter(|number| !kept(number)).copied().collect();
         if !lost.is_empty() {
@@ -173,7 +141,7 @@
 
     /// Starts the owners of an assignment that aren't running. The assignment held at `asked`.
     fn take(&self, assignment: &log_store::Assignment, asked: Millis) {
-        let mut table = self.lock();
+        let mut table = self.directory.lock();
         if table.left {
             return;
         }
@@ -214,14 +182,9 @@
                 continue;
             };
             found(address);
-            // The epoch is learned from the owner itself.
-            self.lock().others.entry(number).or_insert((0, address));
+            self.directory.found(number, address);
         }
     }
-
-    fn lock(&self) -> MutexGuard<'_, Table> {
-        self.table.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
 
 /// Ends owners after they have saved their progress, or when that takes too long.
--- a/serving/src/batch/ledger/mod.rs
+++ b/serving/src/batch/ledger/mod.rs
@@ -16,21 +16,6 @@
 
 pub use job::{ItemId, Job, Progress};
 
-/// What becomes of a submission.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Submission {
-    /// The records are to be made durable, then `confirm_job` is due.
-    Write(Vec<log_store::Record>),
-    /// The job is known and durable.
-    Known,
-    /// The job is known and its record is being written.
-    Pending,
-    /// The route's quota of tokens has no room for it.
-    OverQuota,
-    /// The job can't be kept, for example because it is too large.
-    Invalid(String),
-}
-
 /// How a run of an item ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RunEnd {
@@ -60,33 +45,18 @@
         self.jobs.iter()
     }
 
-    /// A job is submitted. `quota` is the most tokens that may wait on its route, 0 for no limit,
-    /// and `same_route` tells the jobs that count towards it.
+    /// Adds a job that isn't known. Its records are to be made durable, then `confirm_job` is
+    /// due, else `withdraw`.
     pub fn submit(
         &mut self,
         id: &JobId,
         head: Head,
         due: Millis,
-        quota: u64,
         record_bytes: usize,
-        same_route: impl Fn(&Head) -> bool,
-    ) -> Submission {
-        if let Some(known) = self.jobs.get(id) {
-            return if known.durable { Submission::Known } else { Submission::Pending };
-        }
-        let counted = self.jobs.values().filter(|job| !job.ended && same_route(&job.head));
-        let waiting: u64 = counted.map(|job| job.waiting_tokens).sum();
-        let asked: u64 = head.items.iter().map(|item| item.tokens).sum();
-        if quota > 0 && waiting + asked > quota {
-            return Submission::OverQuota;
-        }
-        match record::head(id, &head, record_bytes) {
-            Ok(records) => {
-                self.jobs.insert(id.clone(), Job::new(head, due, records.len()));
-                Submission::Write(records)
-            }
-            Err(error) => Submission::Invalid(error.to_string()),
-        }
+    ) -> record::Result<Vec<log_store::Record>> {
+        let records = record::head(id, &head, record_bytes)?;
+        self.jobs.insert(id.clone(), Job::new(head, due, records.len()));
+        Ok(records)
     }
 
     /// The record of a job is durable.
--- a/serving/src/batch/mod.rs
+++ b/serving/src/batch/mod.rs
@@ -4,15 +4,22 @@
 //! * `record` is what the log keeps.
 //! * `owner` writes one partition: the group deals partitions, an epoch fences the writer.
 //! * `run` runs one item at an upstream.
+//! * `quota` counts the tokens that wait over all partitions; `keeper` asks for room.
+//! * `directory` tells who owns which partition.
 //! * `group` joins the group and starts and ends the owners.
 
+mod directory;
 mod group;
+mod keeper;
 pub mod ledger;
 mod owner;
+pub mod quota;
 pub mod record;
 mod run;
 mod settings;
 
-pub use group::{Group, Place, TOPIC, partition};
+pub use directory::{Place, partition};
+pub use group::{Group, TOPIC};
+pub use keeper::PATH as RESERVE_PATH;
 pub use owner::{Accepted, Handle, Page, Unavailable};
 pub use settings::Settings;
--- a/serving/src/batch/owner/calls.rs
+++ b/serving/src/batch/owner/calls.rs
@@ -1,15 +1,14 @@
 //! Calls that an owner answers.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use tokio::{sync::oneshot, time::Instant};
 
-use crate::{id::Job as JobId, time::Millis};
+use crate::{catalog::Route, id::Job as JobId, time::Millis};
 
 use super::{
-    super::{
-        ledger::{Ledger, Submission},
-        record::Head,
-    },
+    super::{keeper::Ask, ledger::Ledger, quota::Verdict, record::Head},
     Owner, Release,
     handle::{Accepted, Command, Found, Page, Unavailable},
     writes::Effect,
@@ -25,6 +24,13 @@
     reply: oneshot::Sender<Found<Page>>,
 }
 
+/// A submitted job that waits for room in its route's quota.
+pub(super) struct Reserving {
+    head: Head,
+    route: Arc<Route>,
+    replies: Vec<oneshot::Sender<Result<Accepted, Unavailable>>>,
+}
+
 impl Owner {
     pub(super) fn command(&mut self, command: Command) {
         match command {
@@ -41,6 +47,9 @@
                 let _ = reply.send(self.sure(self.body(&id, &item)));
             }
             Command::End { id, reply } => self.end(id, reply),
+            Command::Reserve { ask, reply } => {
+                let _ = reply.send(self.reserve(&ask));
+            }
             Command::Release { reply } => {
                 self.releasing = Some(Release { reply, saved: false });
                 for running in self.running.values_mut() {
@@ -57,37 +66,93 @@
         head: Head,
         reply: oneshot::Sender<Result<Accepted, Unavailable>>,
     ) {
+        if let Some(known) = self.ledger.job(&id) {
+            if known.durable {
+                log::info!(job = id.0.as_str(), outcome = "known"; "job submitted");
+                let _ = reply.send(Ok(Accepted::Durable));
+            } else {
+                self.submitters.entry(id).or_default().push(reply);
+            }
+            return;
+        }
+        if let Some(reserving) = self.reserving.get_mut(&id) {
+            reserving.replies.push(reply);
+            return;
+        }
         let route = self.route(&head).filter(|_| self.releasing.is_none());
         let Some(route) = route else {
             let _ = reply.send(Err(Unavailable::NotAccepted));
             return;
         };
-        let catalog = self.tools.catalog.current();
-        let same_route = |other: &Head| {
-            let found = catalog.as_ref().and_then(|catalog| catalog.find(&other.host, &other.path));
-            found.is_some_and(|found| found.id == route.id)
+        let tokens = head.items.iter().map(|item| item.tokens).sum();
+        let ask = Ask { job: id.clone(), route: route.id.clone(), tokens };
+        self.reserving.insert(
+            id.clone(),
+            Reserving { head, route: Arc::clone(&route), replies: vec![reply] },
+        );
+        if route.token_quota == 0 {
+            return self.reserved(id, Ok(Verdict::Granted));
+        }
+        let keeper = self.tools.keeper.clone();
+        self.reservations.spawn(async move { (id, keeper.reserve(ask).await) });
+    }
+
+    /// The keeper of the quota has answered for a job.
+    pub(super) fn reserved(&mut self, id: JobId, verdict: Result<Verdict, Unavailable>) {
+        let Some(Reserving { head, route, replies }) = self.reserving.remove(&id) else { return };
+        let answer = match verdict {
+            Ok(Verdict::Granted) if self.releasing.is_none() => {
+                self.accept(id, head, &route, replies);
+                return;
+            }
+            Ok(Verdict::OverQuota) => Ok(Accepted::OverQuota),
+            Ok(Verdict::Granted | Verdict::Unknown) | Err(_) => Err(Unavailable::NotAccepted),
         };
+        log::info!(job = id.0.as_str(), quota = route.token_quota, verdict:? = verdict, outcome:? = answer; "job submitted");
+        for reply in replies {
+            let _ = reply.send(answer.clone());
+        }
+    }
+
+    fn accept(
+        &mut self,
+        id: JobId,
+        head: Head,
+        route: &Route,
+        replies: Vec<oneshot::Sender<Result<Accepted, Unavailable>>>,
+    ) {
         let due = self.tools.context.clock.now() + route.results_due;
         let items = head.items.len();
-        let bytes = self.tools.settings.record_bytes;
-        let submission = self.ledger.submit(&id, head, due, route.token_quota, bytes, same_route);
-        let (outcome, answer) = match submission {
-            Submission::Write(records) => {
-                self.submitters.entry(id.clone()).or_default().push(reply);
-                self.write(records, Effect::Accepted(id.clone()));
+        match self.ledger.submit(&id, head, due, self.tools.settings.record_bytes) {
+            Ok(records) => {
+                self.submitters.entry(id.clone()).or_default().extend(replies);
                 log::info!(job = id.0.as_str(), items = items, partition = self.partition.number, epoch = self.producer.epoch; "job is being written");
-                return;
+                self.write(records, Effect::Accepted(id));
+                self.report();
             }
-            Submission::Pending => {
-                self.submitters.entry(id).or_default().push(reply);
-                return;
+            Err(error) => {
+                log::error!(job = id.0.as_str(), error:% = error; "job can't be encoded");
+                for reply in replies {
+                    let _ = reply.send(Ok(Accepted::Invalid(error.to_string())));
+                }
             }
-            Submission::Known => ("known", Accepted::Durable),
-            Submission::OverQuota => ("over quota", Accepted::OverQuota),
-            Submission::Invalid(why) => ("invalid", Accepted::Invalid(why)),
-        };
-        log::info!(job = id.0.as_str(), items = items, quota = route.token_quota, outcome = outcome; "job submitted");
-        let _ = reply.send(Ok(answer));
+        }
+    }
+
+    /// Grants room in a quota. Only a proven owner may: a later one grants room as well.
+    fn reserve(&self, ask: &Ask) -> Result<Verdict, Unavailable> {
+        let catalog = self.tools.catalog.current().ok_or(Unavailable::NotAccepted)?;
+        let route = catalog.iter().find(|route| route.id == ask.route);
+        let limit = route.ok_or(Unavailable::NotAccepted)?.token_quota;
+        if !self.is_proven() {
+            return Err(Unavailable::NotAccepted);
+        }
+        if limit == 0 {
+            return Ok(Verdict::Granted);
+        }
+        let now = self.tools.context.clock.now();
+        let mut quota = self.tools.keeper.directory.quota();
+        Ok(quota.reserve(now, &ask.job, &ask.route, ask.tokens, limit))
     }
 
     /// What isn't known here may be known to a later owner, unless there can't be one yet.
@@ -119,6 +184,7 @@
         }
         self.enders.entry(id.clone()).or_default().push(reply);
         self.write(vec![record], Effect::Ended(id));
+        self.report();
     }
 
     fn body(&self, id: &JobId, item: &str) -> Option<Bytes> {
--- a/serving/src/batch/owner/handle.rs
+++ b/serving/src/batch/owner/handle.rs
@@ -10,7 +10,11 @@
 
 use crate::{id::Job as JobId, time::Millis};
 
-use super::super::record::{Head, Outcome};
+use super::super::{
+    keeper::Ask,
+    quota::Verdict,
+    record::{Head, Outcome},
+};
 
 /// What became of a submission.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -65,6 +69,11 @@
         id: JobId,
         reply: oneshot::Sender<Found<()>>,
     },
+    /// Grant a job room in a quota that this owner keeps.
+    Reserve {
+        ask: Ask,
+        reply: oneshot::Sender<Result<Verdict, Unavailable>>,
+    },
     /// Stop running, save what there is and end; the reply comes when that is durable.
     Release {
         reply: oneshot::Sender<()>,
@@ -122,6 +131,11 @@
         self.ask(|reply| Command::End { id, reply }).await?
     }
 
+    /// Asks for room in a quota that this owner keeps.
+    pub(in crate::batch) async fn reserve(&self, ask: Ask) -> Result<Verdict, Unavailable> {
+        self.ask(|reply| Command::Reserve { ask, reply }).await?
+    }
+
     /// Makes the owner save its progress and end.
     pub(in crate::batch) async fn release(&self) -> Result<(), Unavailable> {
         self.ask(|reply| Command::Release { reply }).await
--- a/serving/src/batch/owner/items.rs
+++ b/serving/src/batch/owner/items.rs
@@ -1,10 +1,17 @@
 //! Items of an owner's jobs: started while there is room, paused to make room, given up in time.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use tokio::{sync::oneshot, time::Instant};
 
-use crate::{balance::Class, id::Upstream, time::Millis};
+use crate::{
+    balance::Class,
+    id::{Service, Upstream},
+    time::Millis,
+};
 
 use super::{
     super::{
@@ -33,6 +40,7 @@
         let now = self.tools.context.clock.now();
         let items: Vec<ItemId> = self.ledger.runnable(now).cloned().collect();
         let mut full = BTreeSet::new();
+        let mut room = BTreeMap::new();
         for item in items {
             let Some(job) = self.ledger.job(&item.job) else { continue };
             let Some(route) = self.route(&job.head) else { continue };
@@ -40,6 +48,12 @@
             if full.contains(&service) {
                 continue;
             }
+            let left = room.entry(service.clone()).or_insert_with(|| self.room(&service));
+            if *left == 0 {
+                full.insert(service);
+                continue;
+            }
+            *left -= 1;
             let entry = &job.head.items[item.index as usize];
             let request = match run::request(&job.head.host, entry) {
                 Ok(request) => request,
@@ -75,11 +89,18 @@
         }
     }
 
+    /// Items that may start now: this owner's share of the room that all owners see.
+    fn room(&self, service: &Service) -> u32 {
+        let context = &self.tools.context;
+        let room = context.balance().batch_room(context.clock.now(), service);
+        let owners = self.tools.keeper.directory.quota().busy_partitions().max(1) as u32;
+        room.div_ceil(owners)
+    }
+
     /// Pauses items at upstreams that hold more requests than they have slots; those that are
     /// due last make room first.
     pub(super) fn make_room(&mut self) {
-        let now = self.tools.context.clock.now();
-        let mut overfull = self.tools.context.balance().overfull(now);
+        let mut overfull = self.tools.context.balance().overfull();
         if overfull.is_empty() {
             return;
         }
@@ -111,6 +132,7 @@
         let records = self.ledger.ran(now, &id, &end, progress, attempts, retry);
         if !records.is_empty() {
             self.write(records, Effect::Listed(id.job));
+            self.report();
         }
     }
 
--- a/serving/src/batch/owner/mod.rs
+++ b/serving/src/batch/owner/mod.rs
@@ -29,8 +29,9 @@
 };
 
 use super::{
-    Settings,
+    Settings, keeper,
     ledger::{ItemId, Ledger, Progress},
+    quota::{Report, Verdict},
     record::Head,
     run::Finished,
 };
@@ -38,7 +39,7 @@
 pub(super) use handle::Verified;
 pub use handle::{Accepted, Handle, Page, Unavailable};
 
-use calls::Reader;
+use calls::{Reader, Reserving};
 use handle::{Command, Found};
 use items::Running;
 use writes::{Appending, Effect, Write, appended};
@@ -59,6 +60,7 @@
     pub(super) catalog: catalog::Shared,
     pub(super) store: log_store::Shared,
     pub(super) settings: Settings,
+    pub(super) keeper: keeper::Client,
 }
 
 /// Starts the owner of a partition. It ends when it is fenced or its task is aborted.
@@ -88,6 +90,9 @@
     submitters: BTreeMap<JobId, Vec<oneshot::Sender<Result<Accepted, Unavailable>>>>,
     enders: BTreeMap<JobId, Vec<oneshot::Sender<Found<()>>>>,
     readers: Vec<Reader>,
+    /// Submitted jobs that wait for room in their route's quota.
+    reserving: BTreeMap<JobId, Reserving>,
+    reservations: JoinSet<(JobId, Result<Verdict, Unavailable>)>,
     running: BTreeMap<ItemId, Running>,
     runs: JoinSet<Finished>,
     /// Given to runs, which tell how far they have got.
@@ -160,6 +165,8 @@
             submitters: BTreeMap::new(),
             enders: BTreeMap::new(),
             readers: Vec::new(),
+            reserving: BTreeMap::new(),
+            reservations: JoinSet::new(),
             running: BTreeMap::new(),
             runs: JoinSet::new(),
             progress_reports,
@@ -170,6 +177,7 @@
     }
 
     async fn run(mut self, mut commands: mpsc::Receiver<Command>) {
+        self.report();
         let mut next_schedule = Instant::now();
         loop {
             if self.is_released() {
@@ -199,6 +207,12 @@
                     }
                     self.schedule();
                 }
+                Some(reserved) = self.reservations.join_next(), if !self.reservations.is_empty() => {
+                    match reserved {
+                        Ok((id, verdict)) => self.reserved(id, verdict),
+                        Err(error) => log::error!(error:% = error; "reservation failed"),
+                    }
+                }
                 () = sleep_until(wake) => {
                     let now = Instant::now();
                     self.answer_readers(now);
@@ -245,6 +259,18 @@
         true
     }
 
+    /// Tells the node which tokens wait here.
+    fn report(&self) {
+        let mut waiting = BTreeMap::new();
+        for (_, job) in self.ledger.jobs().filter(|(_, job)| !job.ended) {
+            if let Some(route) = self.route(&job.head) {
+                *waiting.entry(route.id.clone()).or_default() += job.waiting_tokens;
+            }
+        }
+        let report = Report { epoch: self.producer.epoch, waiting };
+        self.tools.keeper.directory.quota().report(self.partition.number, report);
+    }
+
     /// The route of a job in the configuration that is in force.
     fn route(&self, head: &Head) -> Option<Arc<Route>> {
         let catalog = self.tools.catalog.current()?;
--- a/serving/src/batch/owner/writes.rs
+++ b/serving/src/batch/owner/writes.rs
@@ -154,6 +154,7 @@
         for write in writes {
             let Effect::Accepted(id) = write.effect else { continue };
             self.ledger.withdraw(&id);
+            self.report();
             log::info!(job = id.0.as_str(), outcome:? = why; "job not accepted");
             for reply in self.submitters.remove(&id).unwrap_or_default() {
                 let _ = reply.send(Err(why));
--- a/serving/src/peers/message.rs
+++ b/serving/src/peers/message.rs
@@ -1,12 +1,13 @@
 //! The datagram between nodes.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    balance::Load,
-    id::{Incarnation, Upstream, Vm},
+    balance::Loads,
+    batch::quota::Report,
+    id::{Incarnation, Vm},
     quarantine::Suspect,
 };
 
@@ -22,9 +23,9 @@
     /// Where the node listens to its peers.
     pub address: SocketAddr,
     /// Requests of the node in flight, by upstream.
-    pub loads: BTreeMap<Upstream, Load>,
-    /// Partitions that the node owns, with their epochs.
-    pub owned: Vec<(u16, u64)>,
+    pub loads: Loads,
+    /// Partitions that the node owns, with the tokens that wait there.
+    pub owned: Vec<(u16, Report)>,
     /// Some other peers.
     pub peers: Vec<SocketAddr>,
     /// Requests that crash upstreams.
--- a/serving/src/peers/settings.rs
+++ b/serving/src/peers/settings.rs
@@ -22,8 +22,8 @@
 impl Default for Settings {
     fn default() -> Settings {
         Settings {
-            change_ms: 20,
-            change_per_peer_ms: 1,
+            change_ms: 10,
+            change_per_peer_ms: 2,
             heartbeat_ms: 250,
             expiry_ms: 3_000,
             introductions: 4,
--- a/serving/src/peers/task.rs
+++ b/serving/src/peers/task.rs
@@ -1,17 +1,14 @@
 //! Sends and receives the datagrams between nodes.
 
-use std::{
-    collections::BTreeMap,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
-};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use tokio::{net::UdpSocket, time::sleep};
 
 use crate::{
-    balance::Load,
-    batch::Group,
+    balance::Loads,
+    batch::{Group, quota::Report},
     exchange::Context,
-    id::{Incarnation, Upstream, Vm},
+    id::{Incarnation, Vm},
     time::Millis,
 };
 
@@ -22,6 +19,9 @@
 /// How often changes are looked for.
 const LOOK: Millis = Millis(10);
 
+/// What is told as soon as it changes: requests in flight, and partitions with their tokens.
+type Told = (Loads, Vec<(u16, Report)>);
+
 /// What is told to peers, and where their news go.
 pub struct Sources {
     pub vm: Vm,
@@ -37,14 +37,15 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn message(&self, sequence: u64, loads: BTreeMap<Upstream, Load>, now: Millis) -> Message {
+    fn message(&self, sequence: u64, told: Told, now: Millis) -> Message {
+        let (loads, owned) = told;
         Message {
             vm: self.vm.clone(),
             incarnation: self.incarnation,
             sequence,
             address: self.address,
             loads,
-            owned: self.group.owned(),
+            owned,
             peers: self.state().tell(now),
             suspects: self.context.quarantine().all(now),
             leaving: false,
@@ -56,9 +57,9 @@
         if !self.state().heard(now, &message) {
             return;
         }
-        self.context.balance().told(now, &message.vm, &message.loads);
+        self.context.balance().told(now, &message.vm, message.loads);
         self.context.quarantine().merge(now, message.suspects);
-        self.group.told(message.address, &message.owned);
+        self.group.told(message.address, message.owned);
     }
 }
 
@@ -67,20 +68,20 @@
     let socket = Arc::new(socket);
     tokio::spawn(receive(Arc::clone(&sources), Arc::clone(&socket)));
     let mut sequence = 0;
-    let mut told = BTreeMap::new();
+    let mut told = Told::default();
     loop {
         sleep(LOOK.duration()).await;
         let now = sources.context.clock.now();
-        let loads = sources.context.balance().own();
-        if now < sources.state().due(loads != told) {
+        let news = (sources.context.balance().own(), sources.group.reports());
+        if now < sources.state().due(news != told) {
             continue;
         }
         for address in sources.state().expire(now) {
             log::info!(peer:% = address; "peer forgotten");
         }
         sequence += 1;
-        told = loads.clone();
-        send(&sources, &socket, sources.message(sequence, loads, now)).await;
+        told = news.clone();
+        send(&sources, &socket, sources.message(sequence, news, now)).await;
     }
 }
 
--- a/serving/src/upstream/mod.rs
+++ b/serving/src/upstream/mod.rs
@@ -1,6 +1,7 @@
 //! Calls to upstreams over connections that are kept and reused.
 
 mod call;
+mod plain;
 mod pool;
 
 use std::time::Duration;
@@ -11,6 +12,7 @@
 use crate::time::Millis;
 
 pub use call::{Answer, Body, Failure, FailureKind, Reached};
+pub use plain::PlainCodec;
 pub use pool::{Pool, Settings};
 
 pub type Result<T> = std::result::Result<T, Failure>;
