feat(batch): nodes that hear no other give their partitions back; results read from the log

Ruled out: too few slots started for batch (room was filled within 200 ms). Change: after 2.5 s without a word from any node, and other members in the group, a node gives its partitions back until it hears one again; a node that can't reach an owner reads results from the log.

--- a/serving/src/batch/group.rs
+++ b/serving/src/batch/group.rs
@@ -7,6 +7,7 @@
 use crate::{
     catalog,
     exchange::Context,
+    id::Job,
     log_store::{self, Partition},
     time::Millis,
     upstream::Pool,
@@ -14,9 +15,10 @@
 
 use super::{
     Settings,
-    directory::{Directory, Owned, Place},
+    directory::{Directory, Owned, Place, partition},
     keeper,
-    owner::{self, Tools, Verified},
+    ledger::Ledger,
+    owner::{self, Page, Tools, Unavailable, Verified},
     quota::Report,
 };
 
@@ -75,10 +77,12 @@
         keeper::answer(&self.directory, body).await
     }
 
-    /// Stays in the group until `leave`. `found` gets the addresses of other members.
-    pub async fn run(&self, found: impl Fn(SocketAddr)) {
+    /// Stays in the group until `leave`. `found` gets the addresses of other members, `silence`
+    /// tells how long none of them has been heard.
+    pub async fn run(&self, found: impl Fn(SocketAddr), silence: impl Fn() -> Option<Millis>) {
         let settings = &self.tools.settings;
         let mut round = 0;
+        let mut stays_out = false;
         loop {
             let (generation, left) = {
                 let table = self.directory.lock();
@@ -87,6 +91,15 @@
             if left {
                 return;
             }
+            let is_silent = silence().is_some_and(|span| span.0 >= settings.isolation_ms);
+            if stays_out && is_silent {
+                sleep(Millis(settings.renewal_ms).duration()).await;
+                continue;
+            }
+            stays_out = is_silent && self.leave_if_unreachable().await;
+            if stays_out {
+                continue;
+            }
             let ttl = Millis(settings.membership_ms);
             let asked = self.tools.context.clock.now();
             let joined = self.tools.store.join(GROUP, &self.member, TOPIC, generation, ttl).await;
@@ -128,6 +141,41 @@
         }
     }
 
+    /// No other node is heard: gives the partitions back if there are others to take them. Tells
+    /// whether it did.
+    async fn leave_if_unreachable(&self) -> bool {
+        let owners = match self.tools.store.owners(GROUP, TOPIC).await {
+            Ok(owners) => owners,
+            Err(error) => {
+                log::warn!(group = GROUP, error:% = error; "owners can't be read");
+                return false;
+            }
+        };
+        if owners.iter().all(|(_, member)| *member == self.member) {
+            return false;
+        }
+        log::warn!(group = GROUP; "no other node is heard; partitions go to nodes that are");
+        let owned = std::mem::take(&mut self.directory.lock().owned);
+        release(owned.into_values().collect()).await;
+        if let Err(error) = self.tools.store.leave(GROUP, &self.member).await {
+            log::warn!(group = GROUP, error:% = error; "group can't be left");
+        }
+        true
+    }
+
+    /// Results of a job from the log itself, for a node that can't reach the job's owner.
+    /// `Ok(None)` means that there is no such job.
+    pub async fn read_log(&self, job: &Job, after: usize) -> Result<Option<Page>, Unavailable> {
+        let number = partition(&job.0, self.tools.settings.partitions);
+        let place = Partition { topic: TOPIC.to_string(), number };
+        let newest = self.tools.store.newest(&place).await.map_err(|error| {
+            log::warn!(job = job.0.as_str(), error:% = error; "job can't be read from the log");
+            Unavailable::NotAccepted
+        })?;
+        let ledger = Ledger::restore(&newest.records, 0, Millis(0), |_| Millis(0));
+        Ok(owner::page(&ledger, job, after))
+    }
+
     /// Takes out the owners of partitions that are to go to others.
     fn lose(&self, assignment: &log_store::Assignment) -> Vec<Owned> {
         let mut table = self.directory.lock();
--- a/serving/src/batch/owner/calls.rs
+++ b/serving/src/batch/owner/calls.rs
@@ -222,7 +222,7 @@
 }
 
 /// The listed results of a job from `after` on.
-fn page(ledger: &Ledger, id: &JobId, after: usize) -> Option<Page> {
+pub(in crate::batch) fn page(ledger: &Ledger, id: &JobId, after: usize) -> Option<Page> {
     let job = ledger.job(id).filter(|job| job.durable)?;
     let listed = &job.results[..job.listed];
     let mut page = Page { total: job.head.items.len(), next: after, results: Vec::new() };
--- a/serving/src/batch/owner/mod.rs
+++ b/serving/src/batch/owner/mod.rs
@@ -36,6 +36,7 @@
     run::Finished,
 };
 
+pub(super) use calls::page;
 pub(super) use handle::Verified;
 pub use handle::{Accepted, Handle, Page, Unavailable};
 
--- a/serving/src/batch/settings.rs
+++ b/serving/src/batch/settings.rs
@@ -20,6 +20,10 @@
     /// Milliseconds after its last proof of ownership for which an owner says that there is no
     /// such job or result. Below the time in which a result must be found at all nodes.
     pub proof_ms: u64,
+    /// Milliseconds without a word from any other node after which a node gives its partitions
+    /// back, if the group has other members: they can't reach it. Above `membership_ms`, after
+    /// which members that ended are no longer named.
+    pub isolation_ms: u64,
     /// Milliseconds between two looks at what may run.
     pub schedule_ms: u64,
     /// Milliseconds after which an item that failed is tried again.
@@ -43,6 +47,7 @@
             membership_ms: 2_000,
             renewal_ms: 250,
             proof_ms: 700,
+            isolation_ms: 2_500,
             schedule_ms: 40,
             retry_ms: 200,
             run_ms: 60_000,
--- a/serving/src/peers/state.rs
+++ b/serving/src/peers/state.rs
@@ -26,11 +26,13 @@
     told: Option<Millis>,
     /// Which peers are introduced next.
     turn: usize,
+    /// When the last message of any peer came.
+    heard: Option<Millis>,
 }
 
 impl State {
     pub fn new(settings: Settings, own: SocketAddr) -> State {
-        State { settings, own, peers: BTreeMap::new(), told: None, turn: 0 }
+        State { settings, own, peers: BTreeMap::new(), told: None, turn: 0, heard: None }
     }
 
     pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> {
@@ -60,6 +62,7 @@
         }
         peer.identity = Some((message.vm.clone(), message.incarnation, message.sequence));
         peer.heard = now;
+        self.heard = Some(now);
         for address in &message.peers {
             self.found(now, *address);
         }
@@ -69,6 +72,11 @@
         true
     }
 
+    /// How long no peer has been heard. `None` while none ever was.
+    pub fn silence(&self, now: Millis) -> Option<Millis> {
+        self.heard.map(|heard| now - heard)
+    }
+
     /// Forgets peers that have been silent for too long.
     pub fn expire(&mut self, now: Millis) -> Vec<SocketAddr> {
         let expiry = Millis(self.settings.expiry_ms);
--- a/serving/tests/jobs.rs
+++ b/serving/tests/jobs.rs
@@ -3,7 +3,10 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -77,6 +80,8 @@
 struct Node {
     group: Arc<Group>,
     log: Log,
+    /// Milliseconds since another node was heard.
+    silence: Arc<AtomicU64>,
 }
 
 impl Node {
@@ -100,6 +105,7 @@
             partitions: PARTITIONS,
             membership_ms: 400,
             renewal_ms: 50,
+            isolation_ms: 500,
             proof_ms: 200,
             ..Settings::default()
         };
@@ -115,8 +121,12 @@
         );
         let group = Arc::new(group);
         let running = Arc::clone(&group);
-        tokio::spawn(async move { running.run(|_| {}).await });
-        Node { group, log }
+        let silence = Arc::new(AtomicU64::new(0));
+        let heard = Arc::clone(&silence);
+        tokio::spawn(async move {
+            running.run(|_| {}, || Some(Millis(heard.load(Ordering::Relaxed)))).await;
+        });
+        Node { group, log, silence }
     }
 
     /// The owner of job `a` at this node, once there is one.
@@ -304,3 +314,59 @@
     assert_eq!(owner.submit(job("a"), head(3)).await, Err(Unavailable::NotAccepted));
     assert!(log.records(&partition).is_empty());
 }
+
+fn owns_something(node: &Node) -> bool {
+    !node.group.reports().is_empty()
+}
+
+async fn eventually(what: &str, mut done: impl FnMut() -> bool) {
+    for _ in 0..500 {
+        if done() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("this never came true: {what}");
+}
+
+/// A node that reaches the log and no other node would hold jobs that nobody can read.
+#[tokio::test]
+async fn node_that_hears_no_other_gives_its_partitions_back() {
+    let log = Log::new(PARTITIONS);
+    let nodes = [Node::start(&log, 1, 0), Node::start(&log, 2, 0)];
+    eventually("both own some", || nodes.iter().all(owns_something)).await;
+    nodes[0].silence.store(600, Ordering::Relaxed);
+    eventually("the other owns all", || nodes[1].group.reports().len() == 4).await;
+    assert!(!owns_something(&nodes[0]));
+    nodes[0].silence.store(0, Ordering::Relaxed);
+    eventually("both own some again", || nodes.iter().all(owns_something)).await;
+}
+
+#[tokio::test]
+async fn last_node_keeps_its_partitions_in_silence() {
+    let log = Log::new(PARTITIONS);
+    let node = Node::start(&log, 1, 0);
+    node.silence.store(60_000, Ordering::Relaxed);
+    node.owner().await;
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    assert_eq!(node.group.reports().len(), 4);
+}
+
+#[tokio::test]
+async fn results_are_read_from_the_log_when_the_owner_cannot_be_reached() {
+    let log = Log::new(PARTITIONS);
+    let owner = Node::start(&log, 1, 0);
+    let other = Node::start(&log, 2, 0);
+    eventually("both own some", || owns_something(&owner) && owns_something(&other)).await;
+    let (owner, other) = match owner.group.place("a") {
+        Place::Here(_) => (owner, other),
+        Place::Peer(_) | Place::Unknown => (other, owner),
+    };
+    let handle = owner.owner().await;
+    assert_eq!(handle.submit(job("a"), head(3)).await, Ok(Accepted::Durable));
+    let page = other.group.read_log(&job("a"), 0).await.unwrap().unwrap();
+    assert_eq!((page.total, page.next), (3, 0));
+    assert_eq!(other.group.read_log(&job("none"), 0).await, Ok(None));
+    other.log.set_fault(Fault::Down);
+    assert_eq!(other.group.read_log(&job("a"), 0).await, Err(Unavailable::NotAccepted));
+}
