--- a/serving/src/balance/replica.rs
+++ b/serving/src/balance/replica.rs
@@ -1,9 +1,14 @@
 //! What a node knows of the load and health of one upstream.
 
-use crate::{fleet::Entry, time::Millis};
+use std::collections::BTreeMap;
+
+use crate::{fleet::Entry, id::Vm, time::Millis};
 
 use super::{Load, Settings, state::Class};
 
+/// Weight of the newest request in the failure rate.
+const RATE_WEIGHT: f64 = 0.2;
+
 /// One upstream as this node sees it.
 #[derive(Clone, Debug)]
 pub(super) struct Replica {
@@ -18,6 +23,10 @@
     pub(super) ejected_until: Millis,
     /// Failures since the last success.
     pub(super) failures: u32,
+    /// Share of failures among the latest requests.
+    pub(super) failure_rate: f64,
+    /// Until when other nodes have ejected the upstream.
+    pub(super) ejected_by: BTreeMap<Vm, Millis>,
 }
 
 impl Replica {
@@ -29,6 +38,8 @@
             full_until: Millis(0),
             ejected_until: Millis(0),
             failures: 0,
+            failure_rate: 0.0,
+            ejected_by: BTreeMap::new(),
         }
     }
 
@@ -49,9 +60,25 @@
         }
     }
 
+    /// Whether the upstream is to be left alone: by what this node saw, or several others.
+    pub(super) fn is_ejected(&self, now: Millis, settings: &Settings) -> bool {
+        let others = self.ejected_by.values().filter(|until| **until > now).count();
+        self.ejected_until > now || others >= settings.eject_witnesses
+    }
+
+    pub(super) fn succeeded(&mut self) {
+        self.failures = 0;
+        self.ejected_until = Millis(0);
+        self.failure_rate *= 1.0 - RATE_WEIGHT;
+    }
+
     pub(super) fn failed(&mut self, now: Millis, settings: &Settings) {
+        self.failure_rate += RATE_WEIGHT * (1.0 - self.failure_rate);
         let doubled = settings.eject_ms << self.failures.min(8);
         self.failures += 1;
-        self.ejected_until = now + Millis(doubled.min(settings.eject_max_ms));
+        // One that fails a part of its requests never fails often in a row.
+        let by_rate = (self.failure_rate * settings.eject_max_ms as f64) as u64;
+        let span = doubled.max(by_rate).min(settings.eject_max_ms);
+        self.ejected_until = now + Millis(span);
     }
 }
--- a/serving/src/balance/settings.rs
+++ b/serving/src/balance/settings.rs
@@ -19,6 +19,8 @@
     pub eject_ms: u64,
     /// Milliseconds that an ejection lasts at most.
     pub eject_max_ms: u64,
+    /// Other nodes that must have ejected an upstream for this one to leave it alone as well.
+    pub eject_witnesses: usize,
     /// Milliseconds after which the load that another node told of no longer counts.
     pub load_expiry_ms: u64,
     /// Milliseconds after which refused callers come back at the earliest.
@@ -35,7 +37,8 @@
             batch_reserve: 1,
             full_ms: 60,
             eject_ms: 250,
-            eject_max_ms: 2_000,
+            eject_max_ms: 3_000,
+            eject_witnesses: 2,
             load_expiry_ms: 1_000,
             retry_after_ms: 200,
             retry_spread_ms: 800,
--- a/serving/src/balance/state.rs
+++ b/serving/src/balance/state.rs
@@ -9,7 +9,7 @@
     ops::{Add, Sub},
 };
 
-use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use rand::{RngExt, SeedableRng, rngs::SmallRng, seq::index};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -21,6 +21,9 @@
 
 use super::{Settings, replica::Replica};
 
+/// Upstreams that are compared for one request at most.
+const SAMPLE_FROM: usize = 12;
+
 /// Requests in flight at an upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
@@ -99,7 +102,7 @@
     /// No upstream of the service is known, or the request has failed at all of them.
     NoUpstream { retry_after: Millis },
     /// All upstreams hold as many requests as can be served in time.
-    Full { retry_after: Millis },
+    Full { in_flight: u32, slots: u32, retry_after: Millis },
 }
 
 /// How a request ended, as far as the health of its upstream goes.
@@ -169,6 +172,22 @@
         }
     }
 
+    /// Another node has ejected these upstreams for so long.
+    pub fn told_ejected(&mut self, now: Millis, vm: &Vm, ejected: &[(Tag, Millis)]) {
+        for (tag, span) in ejected {
+            let upstream = self.tags.get(tag);
+            if let Some(replica) = upstream.and_then(|id| self.replicas.get_mut(id)) {
+                replica.ejected_by.insert(vm.clone(), now + *span);
+            }
+        }
+    }
+
+    /// Upstreams that this node has ejected by what it saw, and for how much longer.
+    pub fn ejected(&self, now: Millis) -> Vec<(Tag, Millis)> {
+        let ejected = self.replicas.iter().filter(|(_, replica)| replica.ejected_until > now);
+        ejected.map(|(id, replica)| (Tag::of(id), replica.ejected_until - now)).collect()
+    }
+
     /// The requests that this node has in flight.
     pub fn own(&self) -> Loads {
         let busy = self.replicas.iter().filter(|(_, replica)| replica.own.total() > 0);
@@ -178,46 +197,79 @@
     /// Chooses an upstream and counts the request as in flight there.
     pub fn choose(&mut self, now: Millis, want: Want<'_>) -> Result<Pick, Refusal> {
         self.expire(now);
-        let candidates: Vec<&Upstream> = self
+        let usable = self.usable(now, want);
+        if usable.is_empty() {
+            return Err(Refusal::NoUpstream { retry_after: self.retry_after() });
+        }
+        let sample = self.sample(&usable);
+        let best = match self.best(now, want.class, &sample) {
+            None if sample.len() < usable.len() => self.best(now, want.class, &usable),
+            best => best,
+        };
+        let Some(upstream) = best else {
+            let retry_after = self.retry_after();
+            let (load, slots) = self.occupancy(now, want.service);
+            return Err(Refusal::Full { in_flight: load.total(), slots, retry_after });
+        };
+        Ok(self.start(upstream, want.class))
+    }
+
+    /// Upstreams that may get the request.
+    fn usable(&self, now: Millis, want: Want<'_>) -> Vec<Upstream> {
+        let candidate = |upstream: &Upstream, replica: &Replica| {
+            replica.entry.service == *want.service
+                && !replica.entry.draining
+                && !want.avoid.contains(upstream)
+        };
+        let (ejected, healthy): (Vec<_>, Vec<_>) = self
             .replicas
             .iter()
-            .filter(|(upstream, replica)| {
-                replica.entry.service == *want.service
-                    && !replica.entry.draining
-                    && !want.avoid.contains(*upstream)
-            })
-            .map(|(upstream, _)| upstream)
-            .collect();
-        let healthy: Vec<&Upstream> = candidates
+            .filter(|(upstream, replica)| candidate(upstream, replica))
+            .partition(|(_, replica)| replica.is_ejected(now, &self.settings));
+        // Where most seem to fail, the cause is elsewhere, and the rest can't take all requests.
+        let all = healthy.len() < ejected.len();
+        let ejected = ejected.into_iter().filter(|_| all);
+        healthy.into_iter().chain(ejected).map(|(upstream, _)| upstream.clone()).collect()
+    }
+
+    /// A few of many upstreams, drawn at random, half of them of this data centre: nodes with the
+    /// same news then don't all choose the same one.
+    fn sample(&mut self, usable: &[Upstream]) -> Vec<Upstream> {
+        if usable.len() <= SAMPLE_FROM {
+            return usable.to_vec();
+        }
+        let (home, away): (Vec<&Upstream>, Vec<&Upstream>) = usable
             .iter()
-            .copied()
-            .filter(|upstream| self.replicas[*upstream].ejected_until <= now)
-            .collect();
-        let usable = if healthy.is_empty() { candidates } else { healthy };
-        if usable.is_empty() {
-            return Err(Refusal::NoUpstream { retry_after: self.retry_after() });
+            .partition(|upstream| self.replicas[*upstream].entry.data_centre == self.home);
+        let mut sample = Vec::new();
+        for part in [home, away] {
+            let count = (SAMPLE_FROM / 2).min(part.len());
+            let drawn = index::sample(&mut self.rng, part.len(), count);
+            sample.extend(drawn.into_iter().map(|position| part[position].clone()));
         }
-        let mut best: Option<(f64, Upstream)> = None;
-        for upstream in usable {
+        sample
+    }
+
+    /// The least loaded of `upstreams` that has room.
+    fn best(&mut self, now: Millis, class: Class, upstreams: &[Upstream]) -> Option<Upstream> {
+        let mut best: Option<(f64, &Upstream)> = None;
+        for upstream in upstreams {
             let replica = &self.replicas[upstream];
-            if !replica.has_room(now, want.class, &self.settings) {
+            if !replica.has_room(now, class, &self.settings) {
                 continue;
             }
             let distance = match replica.entry.data_centre == self.home {
                 true => 0.0,
                 false => self.settings.data_centre_bias,
             };
-            let load = f64::from(replica.load().total());
             // The fraction breaks ties at random, so that nodes with the same news spread out.
-            let score = load + distance + self.rng.random::<f64>() * 0.5;
-            if best.as_ref().is_none_or(|(lowest, _)| score < *lowest) {
-                best = Some((score, upstream.clone()));
+            let score =
+                f64::from(replica.load().total()) + distance + self.rng.random::<f64>() * 0.5;
+            if best.is_none_or(|(lowest, _)| score < lowest) {
+                best = Some((score, upstream));
             }
         }
-        let Some((_, upstream)) = best else {
-            return Err(Refusal::Full { retry_after: self.retry_after() });
-        };
-        Ok(self.start(upstream, want.class))
+        best.map(|(_, upstream)| upstream.clone())
     }
 
     /// A request has ended.
@@ -229,8 +281,7 @@
         }
         match outcome {
             Outcome::Succeeded => {
-                replica.failures = 0;
-                replica.ejected_until = Millis(0);
+                replica.succeeded();
             }
             Outcome::Neutral => {}
             Outcome::Full => replica.full_until = now + Millis(self.settings.full_ms),
@@ -246,7 +297,7 @@
             if replica.entry.service != *service || replica.entry.draining {
                 continue;
             }
-            if replica.ejected_until > now {
+            if replica.is_ejected(now, &self.settings) {
                 continue;
             }
             let load = replica.load();
@@ -285,7 +336,7 @@
         let open = |replica: &&Replica| {
             replica.entry.service == *service
                 && !replica.entry.draining
-                && replica.ejected_until <= now
+                && !replica.is_ejected(now, &self.settings)
         };
         self.replicas.values().filter(open).map(room).sum()
     }
--- a/serving/src/exchange/task.rs
+++ b/serving/src/exchange/task.rs
@@ -230,7 +230,7 @@
 
 fn retry_after(refusal: Refusal) -> Millis {
     match refusal {
-        Refusal::NoUpstream { retry_after } | Refusal::Full { retry_after } => retry_after,
+        Refusal::NoUpstream { retry_after } | Refusal::Full { retry_after, .. } => retry_after,
     }
 }
 
--- a/serving/src/peers/message.rs
+++ b/serving/src/peers/message.rs
@@ -5,10 +5,11 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    balance::Loads,
+    balance::{Loads, Tag},
     batch::quota::Report,
     id::{Incarnation, Vm},
     quarantine::Suspect,
+    time::Millis,
 };
 
 pub type Result<T> = std::result::Result<T, postcard::Error>;
@@ -24,6 +25,8 @@
     pub address: SocketAddr,
     /// Requests of the node in flight, by upstream.
     pub loads: Loads,
+    /// Upstreams that the node has ejected, and for how much longer.
+    pub ejected: Vec<(Tag, Millis)>,
     /// Partitions that the node owns, with the tokens that wait there.
     pub owned: Vec<(u16, Report)>,
     /// Some other peers.
--- a/serving/src/peers/task.rs
+++ b/serving/src/peers/task.rs
@@ -45,6 +45,7 @@
             sequence,
             address: self.address,
             loads,
+            ejected: self.context.balance().ejected(now),
             owned,
             peers: self.state().tell(now),
             suspects: self.context.quarantine().all(now),
@@ -57,7 +58,10 @@
         if !self.state().heard(now, &message) {
             return;
         }
-        self.context.balance().told(now, &message.vm, message.loads);
+        let mut balance = self.context.balance();
+        balance.told(now, &message.vm, message.loads);
+        balance.told_ejected(now, &message.vm, &message.ejected);
+        drop(balance);
         self.context.quarantine().merge(now, message.suspects);
         self.group.told(message.address, message.owned);
     }
--- a/serving/tests/balance.rs
+++ b/serving/tests/balance.rs
@@ -134,6 +134,63 @@
     assert_eq!(choose(&mut single, 1, Class::Online).unwrap().upstream, pick.upstream);
 }
 
+/// A replica that fails a part of its requests with good health.
+#[test]
+fn upstream_that_fails_now_and_then_is_left_alone_for_longer() {
+    let mut state = state(2);
+    let settings = Settings::default();
+    let mut now = 0;
+    for _ in 0..10 {
+        for outcome in [Outcome::Succeeded, Outcome::Failed] {
+            let pick = choose(&mut state, now, Class::Online).unwrap();
+            let grey = pick.upstream == upstream(0);
+            state.end(Millis(now), &pick, if grey { outcome } else { Outcome::Succeeded });
+            now += settings.eject_max_ms + 1;
+        }
+    }
+    let spans: Vec<Millis> = state
+        .ejected(Millis(now - settings.eject_max_ms - 1))
+        .into_iter()
+        .map(|(_, span)| span)
+        .collect();
+    assert!(spans.iter().all(|span| span.0 > settings.eject_ms), "{spans:?}");
+}
+
+#[test]
+fn what_several_nodes_have_ejected_is_left_alone() {
+    let mut state = state(2);
+    let ejected = [(Tag::of(&upstream(0)), Millis(500))];
+    state.told_ejected(Millis(0), &Vm::from("a"), &ejected);
+    assert_eq!(choose(&mut state, 1, Class::Online).unwrap().upstream, upstream(0));
+    state.told_ejected(Millis(0), &Vm::from("b"), &ejected);
+    assert_eq!(choose(&mut state, 1, Class::Online).unwrap().upstream, upstream(1));
+    assert_eq!(choose(&mut state, 501, Class::Online).unwrap().upstream, upstream(0));
+}
+
+#[test]
+fn service_is_never_ejected_as_a_whole() {
+    let mut state = state(4);
+    let ejected: Vec<_> = (0..3).map(|index| (Tag::of(&upstream(index)), Millis(500))).collect();
+    for vm in ["a", "b", "c"] {
+        state.told_ejected(Millis(0), &Vm::from(vm), &ejected);
+    }
+    let chosen: BTreeSet<Upstream> =
+        (0..20).map(|_| choose(&mut state, 1, Class::Online).unwrap().upstream).collect();
+    assert!(chosen.len() > 1);
+}
+
+/// Many nodes with the same news and a burst: they must not all choose the same upstreams.
+#[test]
+fn burst_at_many_nodes_spreads_over_a_large_fleet() {
+    let mut chosen: BTreeMap<Upstream, u32> = BTreeMap::new();
+    for node in 0..60 {
+        let mut state = State::new(Settings::default(), DataCentre::from("here"), node);
+        state.update(&fleet(90));
+        *chosen.entry(choose(&mut state, 0, Class::Online).unwrap().upstream).or_default() += 1;
+    }
+    assert!(chosen.values().all(|count| *count <= 6), "{chosen:?}");
+}
+
 #[test]
 fn upstream_that_refused_counts_as_full_for_a_moment() {
     let mut state = state(1);
--- a/serving/tests/peers.rs
+++ b/serving/tests/peers.rs
@@ -24,6 +24,7 @@
         sequence,
         address: address(index),
         loads: BTreeMap::new(),
+        ejected: Vec::new(),
         owned: vec![(3, Report { epoch: 9, ..Report::default() })],
         peers: vec![address(9), address(1)],
         suspects: Vec::new(),
