feat(batch): one order of items over all owners; late items go last

Items that could no longer be in time made others late. Change: owners tell how many items wait by due time; an item starts when its place in the order over all owners is within the room of the whole service; items that will be late anyhow go last, those nearest to their end first. Room counts the service as a whole (8% of its slots are left free).

--- a/serving/src/balance/replica.rs
+++ b/serving/src/balance/replica.rs
@@ -56,7 +56,7 @@
         let load = self.load().total();
         match class {
             Class::Online => load < self.entry.slots + settings.queue_per_upstream,
-            Class::Batch => load + settings.batch_reserve < self.entry.slots,
+            Class::Batch => load < self.entry.slots,
         }
     }
 
--- a/serving/src/balance/settings.rs
+++ b/serving/src/balance/settings.rs
@@ -11,8 +11,8 @@
     pub data_centre_bias: f64,
     /// Online requests that may wait at an upstream beyond its slots.
     pub queue_per_upstream: u32,
-    /// Slots of an upstream that batch items leave free.
-    pub batch_reserve: u32,
+    /// Share of a service's slots that batch items leave free for online requests.
+    pub online_reserve: f64,
     /// Milliseconds for which an upstream that refused a request counts as full.
     pub full_ms: u64,
     /// Milliseconds of the first ejection of an upstream that failed; doubles with each further one.
@@ -34,7 +34,7 @@
         Settings {
             data_centre_bias: 2.0,
             queue_per_upstream: 2,
-            batch_reserve: 1,
+            online_reserve: 0.08,
             full_ms: 60,
             eject_ms: 250,
             eject_max_ms: 3_000,
--- a/serving/src/balance/state.rs
+++ b/serving/src/balance/state.rs
@@ -327,18 +327,12 @@
         overfull
     }
 
-    /// Batch requests that may start now over all upstreams of `service`.
+    /// Batch requests that may start now over all upstreams of `service`. Counting the service as
+    /// a whole, they don't start and stop with each online request at one upstream.
     pub fn batch_room(&self, now: Millis, service: &Service) -> u32 {
-        let reserve = self.settings.batch_reserve;
-        let room = |replica: &Replica| {
-            replica.entry.slots.saturating_sub(replica.load().total() + reserve)
-        };
-        let open = |replica: &&Replica| {
-            replica.entry.service == *service
-                && !replica.entry.draining
-                && !replica.is_ejected(now, &self.settings)
-        };
-        self.replicas.values().filter(open).map(room).sum()
+        let (load, slots) = self.occupancy(now, service);
+        let open = (f64::from(slots) * (1.0 - self.settings.online_reserve)) as u32;
+        open.saturating_sub(load.total())
     }
 
     /// Forgets what nodes told too long ago.
--- a/serving/src/batch/ledger/mod.rs
+++ b/serving/src/batch/ledger/mod.rs
@@ -97,6 +97,15 @@
         })
     }
 
+    /// Events that earlier runs of a waiting item have left.
+    pub fn events(&self, item: &ItemId) -> u64 {
+        let job = self.jobs.get(&item.job);
+        match job.map(|job| &job.items[item.index as usize].stage) {
+            Some(Stage::Waiting { progress, .. }) => progress.events,
+            Some(Stage::Running | Stage::Done) | None => 0,
+        }
+    }
+
     pub fn has_ready(&self) -> bool {
         !self.ready.is_empty()
     }
--- a/serving/src/batch/mod.rs
+++ b/serving/src/batch/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! * `ledger` holds the jobs of one partition and decides what may run; it does no I/O.
 //! * `record` is what the log keeps.
+//! * `order` tells which items run first over all owners.
 //! * `owner` writes one partition: the group deals partitions, an epoch fences the writer.
 //! * `run` runs one item at an upstream.
 //! * `quota` counts the tokens that wait over all partitions; `keeper` asks for room.
@@ -12,6 +13,7 @@
 mod group;
 mod keeper;
 pub mod ledger;
+pub mod order;
 mod owner;
 pub mod quota;
 pub mod record;
--- a/serving/src/batch/owner/items.rs
+++ b/serving/src/batch/owner/items.rs
@@ -16,6 +16,7 @@
 use super::{
     super::{
         ledger::{ItemId, RunEnd},
+        order::{Urgency, Waiting},
         run::{self, Finished, Run},
     },
     Owner, UPKEEP,
@@ -32,69 +33,85 @@
 }
 
 impl Owner {
-    /// Starts items while their services have room.
+    /// Items that may run now, in order.
+    pub(super) fn waiting(&self) -> Vec<Waiting> {
+        let clock = &self.tools.context.clock;
+        let (now, wall) = (clock.now(), clock.wall().0);
+        let entry = |item: &ItemId| {
+            let job = self.ledger.job(&item.job)?;
+            let due = job.head.accepted + self.route(&job.head)?.results_due.0;
+            let left = self.forecast.left(self.ledger.events(item));
+            Some(Waiting { urgency: Urgency::new(wall, due, left), left, item: item.clone() })
+        };
+        let mut waiting: Vec<Waiting> = self.ledger.runnable(now).filter_map(entry).collect();
+        waiting.sort();
+        waiting
+    }
+
+    /// Starts the items that are the most urgent ones over all owners, as far as there is room.
     pub(super) fn schedule(&mut self) {
         if self.releasing.is_some() {
             return;
         }
-        let now = self.tools.context.clock.now();
-        let items: Vec<ItemId> = self.ledger.runnable(now).cloned().collect();
         let mut full = BTreeSet::new();
         let mut room = BTreeMap::new();
-        for item in items {
+        for (index, Waiting { urgency, item, .. }) in self.waiting().into_iter().enumerate() {
             let Some(job) = self.ledger.job(&item.job) else { continue };
             let Some(route) = self.route(&job.head) else { continue };
             let service = route.service(rand::random()).clone();
             if full.contains(&service) {
                 continue;
             }
-            let left = room.entry(service.clone()).or_insert_with(|| self.room(&service));
-            if *left == 0 {
+            let room = *room.entry(service.clone()).or_insert_with(|| self.room(&service));
+            let quota = self.tools.keeper.directory.quota();
+            let ahead = quota.ahead(self.partition.number, urgency) + index as u32;
+            drop(quota);
+            if ahead >= room || !self.start(item, &service) {
                 full.insert(service);
-                continue;
             }
-            *left -= 1;
-            let entry = &job.head.items[item.index as usize];
-            let request = match run::request(&job.head.host, entry) {
-                Ok(request) => request,
-                Err(why) => {
-                    log::warn!(job = item.job.0.as_str(), item = entry.id.as_str(), why = why.as_str(); "item can't be sent");
-                    let progress = self.ledger.start(&item);
-                    let finished = Finished { id: item, end: RunEnd::Impossible, progress };
-                    self.ran(finished);
-                    continue;
-                }
-            };
-            let lease = match self.tools.context.choose(&service, Class::Batch, &BTreeSet::new()) {
-                Ok(lease) => lease,
-                Err(_) => {
-                    full.insert(service);
-                    continue;
-                }
-            };
-            let (pause, paused) = oneshot::channel();
-            let upstream = lease.pick.upstream.clone();
-            self.running.insert(item.clone(), Running { upstream, pause: Some(pause) });
-            let run = Run {
-                context: Arc::clone(&self.tools.context),
-                progress: self.ledger.start(&item),
-                id: item,
-                request,
-                lease,
-                settings: self.tools.settings.clone(),
-                pause: paused,
-                progressed: self.progress_reports.clone(),
-            };
-            self.runs.spawn(run.run());
         }
+        self.report();
     }
 
-    /// Items that may start now: this owner's share of the room that all owners see.
+    /// Starts an item if an upstream has room.
+    fn start(&mut self, item: ItemId, service: &Service) -> bool {
+        let Some(job) = self.ledger.job(&item.job) else { return true };
+        let entry = &job.head.items[item.index as usize];
+        let request = match run::request(&job.head.host, entry) {
+            Ok(request) => request,
+            Err(why) => {
+                log::warn!(job = item.job.0.as_str(), item = entry.id.as_str(), why = why.as_str(); "item can't be sent");
+                let progress = self.ledger.start(&item);
+                let (events, span) = (0, Millis(0));
+                self.ran(Finished { id: item, end: RunEnd::Impossible, progress, events, span });
+                return true;
+            }
+        };
+        let context = &self.tools.context;
+        let Ok(lease) = context.choose(service, Class::Batch, &BTreeSet::new()) else {
+            return false;
+        };
+        let (pause, paused) = oneshot::channel();
+        let upstream = lease.pick.upstream.clone();
+        self.running.insert(item.clone(), Running { upstream, pause: Some(pause) });
+        let run = Run {
+            context: Arc::clone(context),
+            progress: self.ledger.start(&item),
+            id: item,
+            request,
+            lease,
+            settings: self.tools.settings.clone(),
+            pause: paused,
+            progressed: self.progress_reports.clone(),
+        };
+        self.runs.spawn(run.run());
+        true
+    }
+
+    /// Items that may start now over all owners.
     fn room(&self, service: &Service) -> u32 {
         let context = &self.tools.context;
-        let room = context.balance().batch_room(context.clock.now(), service);
-        let owners = self.tools.keeper.directory.quota().busy_partitions().max(1) as u32;
-        room.div_ceil(owners)
+        context.balance().batch_room(context.clock.now(), service)
     }
 
     /// Pauses items at upstreams that hold more requests than they have slots; those that are
@@ -121,7 +138,11 @@
     }
 
     pub(super) fn ran(&mut self, finished: Finished) {
-        let Finished { id, end, progress } = finished;
+        let Finished { id, end, progress, events, span } = finished;
+        self.forecast.ran(events, span);
+        if end == RunEnd::Complete {
+            self.forecast.completed(progress.events);
+        }
         self.running.remove(&id);
         let Some(job) = self.ledger.job(&id.job) else { return };
         let attempts = self.route(&job.head).map_or(1, |route| route.max_attempts);
--- a/serving/src/batch/owner/mod.rs
+++ b/serving/src/batch/owner/mod.rs
@@ -31,6 +31,7 @@
 use super::{
     Settings, keeper,
     ledger::{ItemId, Ledger, Progress},
+    order::{self, Forecast},
     quota::{Report, Verdict},
     record::Head,
     run::Finished,
@@ -49,6 +50,8 @@
 const COMMANDS: usize = 256;
 /// Reports of progress that wait for an owner at most; further ones are skipped.
 const PROGRESS_REPORTS: usize = 64;
+/// Groups of waiting items that are told to other owners; later items count to the last one.
+const READY_GROUPS: usize = 8;
 /// Milliseconds between two tries of an append or a claim.
 const RETRY: Millis = Millis(100);
 /// Milliseconds between two looks for jobs that need not be kept any longer.
@@ -94,6 +97,7 @@
     /// Submitted jobs that wait for room in their route's quota.
     reserving: BTreeMap<JobId, Reserving>,
     reservations: JoinSet<(JobId, Result<Verdict, Unavailable>)>,
+    forecast: Forecast,
     running: BTreeMap<ItemId, Running>,
     runs: JoinSet<Finished>,
     /// Given to runs, which tell how far they have got.
@@ -168,6 +172,7 @@
             readers: Vec::new(),
             reserving: BTreeMap::new(),
             reservations: JoinSet::new(),
+            forecast: Forecast::default(),
             running: BTreeMap::new(),
             runs: JoinSet::new(),
             progress_reports,
@@ -260,7 +265,7 @@
         true
     }
 
-    /// Tells the node which tokens wait here.
+    /// Tells the node what waits here.
     fn report(&self) {
         let mut waiting = BTreeMap::new();
         for (_, job) in self.ledger.jobs().filter(|(_, job)| !job.ended) {
@@ -268,7 +273,8 @@
                 *waiting.entry(route.id.clone()).or_default() += job.waiting_tokens;
             }
         }
-        let report = Report { epoch: self.producer.epoch, waiting };
+        let ready = order::groups(&self.waiting(), READY_GROUPS);
+        let report = Report { epoch: self.producer.epoch, waiting, ready };
         self.tools.keeper.directory.quota().report(self.partition.number, report);
     }
 
--- a/serving/src/batch/quota.rs
+++ b/serving/src/batch/quota.rs
@@ -1,4 +1,4 @@
-//! Counts the tokens that wait on a route over all partitions.
+//! What waits over all partitions: tokens by route, and items by urgency.
 //!
 //! Each owner reports the tokens of its partition; nodes pass the reports on. One node, the
 //! owner of the route's own partition, grants room to new jobs. What it has granted counts until
@@ -13,6 +13,8 @@
     time::Millis,
 };
 
+use super::order::{self, Urgency};
+
 /// How long a grant counts besides the reports: two heartbeats between nodes and a lost one.
 const GRANT_HOLD: Millis = Millis(800);
 
@@ -21,6 +23,8 @@
 pub struct Report {
     pub epoch: u64,
     pub waiting: BTreeMap<Route, u64>,
+    /// Items that wait to run, the most urgent first.
+    pub ready: Vec<order::Group>,
 }
 
 /// Whether a job fits.
@@ -65,10 +69,14 @@
         self.reports.get(&partition)
     }
 
-    /// Partitions in which something waits.
-    pub fn busy_partitions(&self) -> usize {
-        let busy = |report: &&Report| report.waiting.values().any(|tokens| *tokens > 0);
-        self.reports.values().filter(busy).count()
+    /// Items of other partitions that run before those of `partition` with this urgency.
+    pub fn ahead(&self, partition: u16, urgency: Urgency) -> u32 {
+        let mut ahead = 0;
+        for (number, report) in self.reports.iter().filter(|(number, _)| **number != partition) {
+            let before = |group: &&order::Group| (group.urgency, *number) < (urgency, partition);
+            ahead += report.ready.iter().filter(before).map(|group| group.count).sum::<u32>();
+        }
+        ahead
     }
 
     /// Grants room for a job's tokens under `limit`.
--- a/serving/src/batch/run.rs
+++ b/serving/src/batch/run.rs
@@ -8,6 +8,7 @@
 use crate::{
     balance::Outcome,
     exchange::{Context, Lease, events::Splitter},
+    time::Millis,
     upstream::{Failure, FailureKind, Request, Send},
 };
 
@@ -36,6 +37,9 @@
     pub(super) id: ItemId,
     pub(super) end: RunEnd,
     pub(super) progress: Progress,
+    /// Events of this run and how long it took.
+    pub(super) events: u64,
+    pub(super) span: Millis,
 }
 
 /// The request of an item. An item with a header that HTTP doesn't allow can never be done.
@@ -61,6 +65,7 @@
     pub(super) async fn run(mut self) -> Finished {
         let begun = self.context.clock.now();
         let first = self.progress.last_event;
+        let events = self.progress.events;
         let mut pause = std::mem::replace(&mut self.pause, oneshot::channel().1);
         let result = tokio::select! {
             result = self.exchange() => result,
@@ -90,7 +95,8 @@
             why = why.as_str();
             "item ran"
         );
-        Finished { id: self.id, end, progress: self.progress }
+        let events = self.progress.events.saturating_sub(events);
+        Finished { id: self.id, end, progress: self.progress, events, span: ms }
     }
 
     async fn exchange(&mut self) -> Result<RunEnd, Failure> {
--- /dev/null
+++ b/serving/tests/order.rs
@@ -0,0 +1,95 @@
+//! Which batch items run first over bursts, lulls and overload.
+
+use serving::{
+    batch::{
+        ledger::ItemId,
+        order::{Forecast, Group, Urgency, Waiting, groups},
+        quota::{Report, State},
+    },
+    time::Millis,
+};
+
+const WALL: u64 = 1_000_000;
+
+fn waiting(job: &str, due: u64, left: u64) -> Waiting {
+    let left = Millis(left);
+    let item = ItemId { job: job.into(), index: 0 };
+    Waiting { urgency: Urgency::new(WALL, WALL + due, left), left, item }
+}
+
+fn order(mut items: Vec<Waiting>) -> Vec<String> {
+    items.sort();
+    items.into_iter().map(|waiting| waiting.item.job.to_string()).collect()
+}
+
+#[test]
+fn burst_of_jobs_runs_by_due_time() {
+    let items = vec![waiting("second", 9_000, 4_000), waiting("first", 6_000, 4_000)];
+    assert_eq!(order(items), ["first", "second"]);
+}
+
+/// More jobs than the fleet can do in time: those that are late already must not make the rest late.
+#[test]
+fn overload_does_not_spread_from_late_items() {
+    let items = vec![
+        waiting("lost", 1_000, 4_000),
+        waiting("passed", 0, 1_000),
+        waiting("in time", 8_000, 4_000),
+    ];
+    assert_eq!(order(items), ["in time", "passed", "lost"]);
+}
+
+/// After a pause in a burst, items near their end go first, so that fewer are left half done.
+#[test]
+fn lull_after_a_burst_finishes_what_is_nearly_done() {
+    let items = vec![waiting("begun", 9_000, 4_000), waiting("nearly done", 9_000, 200)];
+    assert_eq!(order(items), ["nearly done", "begun"]);
+}
+
+#[test]
+fn forecast_follows_the_items_that_were_seen() {
+    let mut forecast = Forecast::default();
+    for _ in 0..100 {
+        forecast.ran(50, Millis(1_000));
+        forecast.completed(200);
+    }
+    let left = forecast.left(100).0;
+    assert!((1_900..=2_100).contains(&left), "{left}");
+    assert!(forecast.left(10_000).0 >= 1, "an item beyond the mean is nearly done");
+}
+
+/// Owners with the same reports start as many items together as there is room for.
+#[test]
+fn room_is_shared_by_urgency_over_all_owners() {
+    let urgency = |due| Urgency { late: false, due };
+    let report = |due, count| Report {
+        epoch: 1,
+        ready: vec![Group { urgency: urgency(due), count }],
+        ..Report::default()
+    };
+    let mut state = State::new(3);
+    state.report(0, report(300, 4));
+    state.report(1, report(100, 2));
+    state.report(2, report(200, 5));
+    assert_eq!(state.ahead(1, urgency(100)), 0);
+    assert_eq!(state.ahead(2, urgency(200)), 2);
+    assert_eq!(state.ahead(0, urgency(300)), 7);
+    let room = 6;
+    let started: u32 = [(0, 300, 4), (1, 100, 2), (2, 200, 5)]
+        .into_iter()
+        .map(|(number, due, count): (u16, u64, u32)| {
+            count.min(room - state.ahead(number, urgency(due)).min(room))
+        })
+        .sum();
+    assert_eq!(started, room);
+}
+
+#[test]
+fn groups_hold_every_item() {
+    let mut items: Vec<Waiting> =
+        (0..20).map(|index| waiting("job", 6_000 + index / 2, 100)).collect();
+    items.sort();
+    let groups = groups(&items, 4);
+    assert_eq!(groups.len(), 4);
+    assert_eq!(groups.iter().map(|group| group.count).sum::<u32>(), 20);
+}
