fix(platform): an error status of the log leaves the outcome of an append open; test: soak

Ruled out: the relay between nodes (requests that reach no byte), the last submission that the soak itself breaks off. An append that a later sequence number shows to be done ends the repetition.

--- a/serving/src/batch/owner/writes.rs
+++ b/serving/src/batch/owner/writes.rs
@@ -99,6 +99,17 @@
                 self.reject(waiting, Unavailable::NotAccepted);
                 return false;
             }
+            // An earlier try has taken effect, too long ago for its answer to be repeated.
+            Err(Error::Sequence(expected))
+                if uncertain && expected == self.producer.sequence + 1 =>
+            {
+                self.appending = Some(Appending {
+                    writes,
+                    uncertain: false,
+                    begun,
+                    task: tokio::spawn(async { Ok(()) }),
+                });
+            }
             Err(Error::Sequence(expected)) if !uncertain => {
                 self.producer.sequence = expected;
                 self.append(writes, false, Millis(0));
