feat(balance): each node favours a few upstreams of a large service; fix(exchange): silence is no death

Now a node before more than 12 upstreams favours six, nearest first. Only an exchange that broke off may be a death brought about by its request.

--- a/serving/src/balance/settings.rs
+++ b/serving/src/balance/settings.rs
@@ -9,6 +9,9 @@
 pub struct Settings {
     /// Requests in flight that an upstream of another data centre must be ahead by.
     pub data_centre_bias: f64,
+    /// Requests in flight that an upstream must be ahead by which this node doesn't favour. Nodes
+    /// before a large service favour a few upstreams each, to which they keep connections.
+    pub favour_bias: f64,
     /// Online requests that may wait at an upstream beyond its slots.
     pub queue_per_upstream: u32,
     /// Share of a service's slots that batch items leave free for online requests.
@@ -33,6 +36,7 @@
     fn default() -> Settings {
         Settings {
             data_centre_bias: 2.0,
+            favour_bias: 1.0,
             queue_per_upstream: 2,
             online_reserve: 0.08,
             full_ms: 60,
--- a/serving/src/balance/state.rs
+++ b/serving/src/balance/state.rs
@@ -11,7 +11,7 @@
 
 use rand::{RngExt, SeedableRng, rngs::SmallRng, seq::index};
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::{
     fleet::Entry,
@@ -23,6 +23,8 @@
 
 /// Upstreams that are compared for one request at most.
 const SAMPLE_FROM: usize = 12;
+/// Upstreams of a large service that a node favours; together they hold its usual load.
+const FAVOURITES: usize = 6;
 
 /// Requests in flight at an upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -124,6 +126,9 @@
     rng: SmallRng,
     replicas: BTreeMap<Upstream, Replica>,
     tags: BTreeMap<Tag, Upstream>,
+    /// Upstreams of large services to which this node keeps connections.
+    favourites: BTreeSet<Upstream>,
+    seed: u64,
     /// What each other node told last, and when. Summed up in `Replica::others`.
     nodes: BTreeMap<Vm, (Millis, Loads)>,
     /// No node's news expire before this time.
@@ -138,6 +143,8 @@
             rng: SmallRng::seed_from_u64(seed),
             replicas: BTreeMap::new(),
             tags: BTreeMap::new(),
+            favourites: BTreeSet::new(),
+            seed,
             nodes: BTreeMap::new(),
             next_expiry: Millis(0),
         }
@@ -161,6 +168,24 @@
         for (_, loads) in self.nodes.clone().into_values() {
             self.sum(&loads, Load::add);
         }
+        self.favour();
+    }
+
+    /// Draws the favourites: the same ones as before, as far as they are still there.
+    fn favour(&mut self) {
+        let mut services: BTreeMap<&Service, Vec<(bool, u64, &Upstream)>> = BTreeMap::new();
+        for (upstream, replica) in &self.replicas {
+            let is_away = replica.entry.data_centre != self.home;
+            let draw = xxh3_64_with_seed(upstream.0.as_bytes(), self.seed);
+            services.entry(&replica.entry.service).or_default().push((is_away, draw, upstream));
+        }
+        let mut favourites = BTreeSet::new();
+        for mut upstreams in services.into_values().filter(|list| list.len() > SAMPLE_FROM) {
+            upstreams.sort();
+            let nearest = upstreams.into_iter().take(FAVOURITES);
+            favourites.extend(nearest.map(|(_, _, upstream)| upstream.clone()));
+        }
+        self.favourites = favourites;
     }
 
     /// Takes in the requests that another node has in flight.
@@ -232,21 +257,17 @@
         healthy.into_iter().chain(ejected).map(|(upstream, _)| upstream.clone()).collect()
     }
 
-    /// A few of many upstreams, drawn at random, half of them of this data centre: nodes with the
-    /// same news then don't all choose the same one.
+    /// The favourites of many upstreams and a few drawn at random: nodes with the same news then
+    /// don't all choose the same one.
     fn sample(&mut self, usable: &[Upstream]) -> Vec<Upstream> {
         if usable.len() <= SAMPLE_FROM {
             return usable.to_vec();
         }
-        let (home, away): (Vec<&Upstream>, Vec<&Upstream>) = usable
-            .iter()
-            .partition(|upstream| self.replicas[*upstream].entry.data_centre == self.home);
-        let mut sample = Vec::new();
-        for part in [home, away] {
-            let count = (SAMPLE_FROM / 2).min(part.len());
-            let drawn = index::sample(&mut self.rng, part.len(), count);
-            sample.extend(drawn.into_iter().map(|position| part[position].clone()));
-        }
+        let (mut sample, others): (Vec<Upstream>, Vec<Upstream>) =
+            usable.iter().cloned().partition(|upstream| self.favourites.contains(upstream));
+        let count = (SAMPLE_FROM - FAVOURITES).min(others.len());
+        let drawn = index::sample(&mut self.rng, others.len(), count);
+        sample.extend(drawn.into_iter().map(|position| others[position].clone()));
         sample
     }
 
@@ -262,9 +283,13 @@
                 true => 0.0,
                 false => self.settings.data_centre_bias,
             };
+            let favour = match self.favourites.is_empty() || self.favourites.contains(upstream) {
+                true => 0.0,
+                false => self.settings.favour_bias,
+            };
             // The fraction breaks ties at random, so that nodes with the same news spread out.
-            let score =
-                f64::from(replica.load().total()) + distance + self.rng.random::<f64>() * 0.5;
+            let tie = self.rng.random::<f64>() * 0.5;
+            let score = f64::from(replica.load().total()) + distance + favour + tie;
             if best.is_none_or(|(lowest, _)| score < lowest) {
                 best = Some((score, upstream));
             }
--- a/serving/src/batch/run.rs
+++ b/serving/src/batch/run.rs
@@ -169,7 +169,8 @@
 }
 
 fn silent() -> Failure {
-    broken("the upstream has been silent for too long".to_string())
+    let message = "the upstream has been silent for too long".to_string();
+    Failure { kind: FailureKind::Silent, reached: crate::upstream::Reached::Sent, message }
 }
 
 fn broken(message: String) -> Failure {
--- a/serving/src/exchange/state.rs
+++ b/serving/src/exchange/state.rs
@@ -193,6 +193,15 @@
 pub fn outcome(failure: &Failure) -> Outcome {
     match failure.kind {
         FailureKind::Full => Outcome::Full,
-        FailureKind::Connect | FailureKind::Misdirected | FailureKind::Broken => Outcome::Failed,
+        FailureKind::Connect
+        | FailureKind::Misdirected
+        | FailureKind::Silent
+        | FailureKind::Broken => Outcome::Failed,
     }
 }
+
+/// Whether a failure may be the end of its upstream, brought about by the request. An upstream
+/// that is silent or can't be reached was gone before the request came.
+pub fn may_be_death(failure: &Failure) -> bool {
+    failure.kind == FailureKind::Broken && failure.reached == Reached::Sent
+}
--- a/serving/src/exchange/task.rs
+++ b/serving/src/exchange/task.rs
@@ -295,7 +295,8 @@
 }
 
 pub(super) fn silent() -> Failure {
-    broken("the upstream has been silent for too long")
+    let message = "the upstream has been silent for too long".to_string();
+    Failure { kind: FailureKind::Silent, reached: Reached::Sent, message }
 }
 
 fn broken(message: &str) -> Failure {
@@ -316,7 +317,7 @@
     pick: &Pick,
     failure: &Failure,
 ) {
-    if failure.kind != FailureKind::Broken {
+    if !state::may_be_death(failure) {
         return;
     }
     let (context, pick) = (Arc::clone(context), pick.clone());
--- a/serving/src/upstream/call.rs
+++ b/serving/src/upstream/call.rs
@@ -33,6 +33,8 @@
     Full,
     /// Another upstream has the address.
     Misdirected,
+    /// Nothing came for too long.
+    Silent,
     /// The connection ended, or bytes came that are no answer to the request.
     Broken,
 }
--- a/serving/tests/balance.rs
+++ b/serving/tests/balance.rs
@@ -191,6 +191,20 @@
     assert!(chosen.values().all(|count| *count <= 6), "{chosen:?}");
 }
 
+/// Few requests of each node before many upstreams: connections are kept and used again.
+#[test]
+fn node_before_a_large_fleet_returns_to_the_same_upstreams() {
+    let mut state = State::new(Settings::default(), DataCentre::from("here"), 7);
+    state.update(&fleet(90));
+    let mut chosen = BTreeSet::new();
+    for now in 0..50 {
+        let pick = choose(&mut state, now, Class::Online).unwrap();
+        chosen.insert(pick.upstream.clone());
+        state.end(Millis(now), &pick, Outcome::Succeeded);
+    }
+    assert!(chosen.len() <= 6, "{chosen:?}");
+}
+
 #[test]
 fn upstream_that_refused_counts_as_full_for_a_moment() {
     let mut state = state(1);
--- a/serving/tests/exchange_state.rs
+++ b/serving/tests/exchange_state.rs
@@ -6,7 +6,7 @@
 };
 use serving::{
     catalog::Kind,
-    exchange::state::{End, Next, State},
+    exchange::state::{End, Next, State, may_be_death},
     id::Upstream,
     time::Millis,
     upstream::{Failure, FailureKind, Reached},
@@ -109,6 +109,16 @@
     assert_eq!(repeatable.silent_until(Millis(0)), END, "no attempt is left");
 }
 
+/// Upstreams that go dark take no innocent requests into quarantine with them.
+#[test]
+fn only_a_broken_exchange_may_be_a_death() {
+    assert!(may_be_death(&failure(Reached::Sent)));
+    assert!(!may_be_death(&failure(Reached::Nothing)));
+    assert!(!may_be_death(&failure(Reached::Refused)));
+    let silent = Failure { kind: FailureKind::Silent, ..failure(Reached::Sent) };
+    assert!(!may_be_death(&silent));
+}
+
 fn kinds() -> impl Strategy<Value = Kind> {
     prop_oneof![
         Just(Kind::Idempotent),
