--- /dev/null
+++ b/serving/src/balance/load.rs
@@ -0,0 +1,57 @@
+//! Requests in flight at upstreams, as nodes tell one another.
+
+use std::{
+    collections::BTreeMap,
+    ops::{Add, Sub},
+};
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::id::Upstream;
+
+/// Requests in flight at an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    pub online: u32,
+    pub batch: u32,
+}
+
+impl Add for Load {
+    type Output = Load;
+
+    fn add(self, other: Load) -> Load {
+        Load { online: self.online + other.online, batch: self.batch + other.batch }
+    }
+}
+
+/// Stops at zero.
+impl Sub for Load {
+    type Output = Load;
+
+    fn sub(self, other: Load) -> Load {
+        Load {
+            online: self.online.saturating_sub(other.online),
+            batch: self.batch.saturating_sub(other.batch),
+        }
+    }
+}
+
+impl Load {
+    pub fn total(self) -> u32 {
+        self.online + self.batch
+    }
+}
+
+/// A short name of an upstream in messages between nodes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Tag(u32);
+
+impl Tag {
+    pub fn of(upstream: &Upstream) -> Tag {
+        Tag(xxh3_64(upstream.0.as_bytes()) as u32)
+    }
+}
+
+/// Requests in flight by upstream, without those that have none.
+pub type Loads = BTreeMap<Tag, Load>;
--- a/serving/src/balance/mod.rs
+++ b/serving/src/balance/mod.rs
@@ -1,8 +1,12 @@
 //! Chooses the upstream of a request, and refuses what can't be served in time.
 
+mod load;
 mod replica;
+mod request;
 mod settings;
 mod state;
 
+pub use load::{Load, Loads, Tag};
+pub use request::{Class, Outcome, Pick, Refusal, Want};
 pub use settings::Settings;
-pub use state::{Class, Load, Loads, Outcome, Pick, Refusal, State, Tag, Want};
+pub use state::State;
--- a/serving/src/balance/replica.rs
+++ b/serving/src/balance/replica.rs
@@ -4,7 +4,7 @@
 
 use crate::{fleet::Entry, id::Vm, time::Millis};
 
-use super::{Load, Settings, state::Class};
+use super::{Class, Load, Settings};
 
 /// Weight of the newest request in the failure rate.
 const RATE_WEIGHT: f64 = 0.2;
--- a/serving/src/balance/state.rs
+++ b/serving/src/balance/state.rs
@@ -5,13 +5,11 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
     ops::{Add, Sub},
 };
 
 use rand::{RngExt, SeedableRng, rngs::SmallRng, seq::index};
-use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
     fleet::Entry,
@@ -19,106 +17,18 @@
     time::Millis,
 };
 
-use super::{Settings, replica::Replica};
+use super::{
+    Settings,
+    load::{Load, Loads, Tag},
+    replica::Replica,
+    request::{Class, Outcome, Pick, Refusal, Want},
+};
 
 /// Upstreams that are compared for one request at most.
 const SAMPLE_FROM: usize = 12;
 /// Upstreams of a large service that a node favours; together they hold its usual load.
 const FAVOURITES: usize = 6;
 
-/// Requests in flight at an upstream.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Load {
-    pub online: u32,
-    pub batch: u32,
-}
-
-impl Add for Load {
-    type Output = Load;
-
-    fn add(self, other: Load) -> Load {
-        Load { online: self.online + other.online, batch: self.batch + other.batch }
-    }
-}
-
-/// Stops at zero.
-impl Sub for Load {
-    type Output = Load;
-
-    fn sub(self, other: Load) -> Load {
-        Load {
-            online: self.online.saturating_sub(other.online),
-            batch: self.batch.saturating_sub(other.batch),
-        }
-    }
-}
-
-impl Load {
-    pub fn total(self) -> u32 {
-        self.online + self.batch
-    }
-}
-
-/// A short name of an upstream in messages between nodes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Tag(u32);
-
-impl Tag {
-    pub fn of(upstream: &Upstream) -> Tag {
-        Tag(xxh3_64(upstream.0.as_bytes()) as u32)
-    }
-}
-
-/// Requests in flight by upstream, without those that have none.
-pub type Loads = BTreeMap<Tag, Load>;
-
-/// Who a request is for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Class {
-    Online,
-    Batch,
-}
-
-/// What a request needs.
-#[derive(Clone, Copy, Debug)]
-pub struct Want<'a> {
-    pub service: &'a Service,
-    pub class: Class,
-    /// Upstreams that have failed or refused the request already.
-    pub avoid: &'a BTreeSet<Upstream>,
-}
-
-/// The upstream that was chosen. The request counts as in flight there until `State::end`.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Pick {
-    pub upstream: Upstream,
-    pub address: SocketAddr,
-    pub class: Class,
-    /// Requests in flight there when it was chosen, this one excluded.
-    pub load: u32,
-}
-
-/// Why no upstream was chosen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Refusal {
-    /// No upstream of the service is known, or the request has failed at all of them.
-    NoUpstream { retry_after: Millis },
-    /// All upstreams hold as many requests as can be served in time.
-    Full { in_flight: u32, slots: u32, retry_after: Millis },
-}
-
-/// How a request ended, as far as the health of its upstream goes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    Succeeded,
-    /// Says nothing of the upstream, as when the caller left.
-    Neutral,
-    /// The upstream refused for lack of room.
-    Full,
-    /// No connection, no answer, or one that broke off.
-    Failed,
-}
-
 /// What a node knows of the load of all upstreams.
 pub struct State {
     settings: Settings,
@@ -189,7 +99,7 @@
     }
 
     /// Takes in the requests that another node has in flight.
-    pub fn told(&mut self, now: Millis, vm: &Vm, loads: Loads) {
+    pub fn update_loads(&mut self, now: Millis, vm: &Vm, loads: Loads) {
         self.expire(now);
         self.sum(&loads, Load::add);
         if let Some((_, before)) = self.nodes.insert(vm.clone(), (now, loads)) {
@@ -198,7 +108,7 @@
     }
 
     /// Another node has ejected these upstreams for so long.
-    pub fn told_ejected(&mut self, now: Millis, vm: &Vm, ejected: &[(Tag, Millis)]) {
+    pub fn update_ejections(&mut self, now: Millis, vm: &Vm, ejected: &[(Tag, Millis)]) {
         for (tag, span) in ejected {
             let upstream = self.tags.get(tag);
             if let Some(replica) = upstream.and_then(|id| self.replicas.get_mut(id)) {
--- a/serving/src/batch/keeper.rs
+++ b/serving/src/batch/coordinator.rs
@@ -1,4 +1,4 @@
-//! Asks the keeper of a route's quota for room: the owner of the partition for the route's id.
+//! Asks the coordinator of a route's quota for room: the owner of the partition for the route's id.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -19,7 +19,7 @@
 
 /// The path of the call between nodes.
 pub const PATH: &str = "/quota/reserve";
-/// How long the keeper may take; it answers from memory.
+/// How long the coordinator may take; it answers from memory.
 const TIMEOUT: Duration = Duration::from_millis(500);
 
 /// A job that asks for room.
@@ -30,7 +30,7 @@
     pub(super) tokens: u64,
 }
 
-/// Reaches the keepers of all routes.
+/// Reaches the coordinators of all routes.
 #[derive(Clone)]
 pub(super) struct Client {
     pub(super) directory: Arc<Directory>,
@@ -52,7 +52,7 @@
 
     async fn relay(&self, address: SocketAddr, ask: &Ask) -> Result<Verdict, Unavailable> {
         let failed = |error: String| {
-            log::warn!(job = ask.job.0.as_str(), keeper:% = address, error = error.as_str(); "keeper of a quota does not answer");
+            log::warn!(job = ask.job.0.as_str(), coordinator:% = address, error = error.as_str(); "coordinator of a quota does not answer");
             Unavailable::NotAccepted
         };
         let body = postcard::to_stdvec(ask).map_err(|error| failed(error.to_string()))?;
--- a/serving/src/batch/directory.rs
+++ b/serving/src/batch/directory.rs
@@ -77,7 +77,7 @@
     }
 
     /// Another node has told which partitions it owns.
-    pub(super) fn told(&self, address: SocketAddr, reports: Vec<(u16, Report)>) {
+    pub(super) fn update_owners(&self, address: SocketAddr, reports: Vec<(u16, Report)>) {
         let mut table = self.lock();
         let claimed = |number: &u16| reports.iter().any(|(claimed, _)| claimed == number);
         table.others.retain(|number, (_, known)| *known != address || claimed(number));
@@ -95,7 +95,7 @@
     }
 
     /// The log names a member as the owner; its epoch is learned from the owner itself.
-    pub(super) fn found(&self, number: u16, address: SocketAddr) {
+    pub(super) fn discover_owner(&self, number: u16, address: SocketAddr) {
         self.lock().others.entry(number).or_insert((0, address));
     }
 
--- a/serving/src/batch/group.rs
+++ b/serving/src/batch/group.rs
@@ -14,9 +14,8 @@
 };
 
 use super::{
-    Settings,
+    Settings, coordinator,
     directory::{Directory, Owned, Place, partition},
-    keeper,
     ledger::Ledger,
     owner::{self, Page, Tools, Unavailable, Verified},
     quota::Report,
@@ -52,8 +51,8 @@
         incarnation: u64,
     ) -> Group {
         let directory = Arc::new(Directory::new(settings.partitions));
-        let keeper = keeper::Client { directory: Arc::clone(&directory), peers };
-        let tools = Tools { context, catalog, store, settings, keeper };
+        let coordinator = coordinator::Client { directory: Arc::clone(&directory), peers };
+        let tools = Tools { context, catalog, store, settings, coordinator };
         Group { tools, directory, member: format!("{address}/{incarnation:x}") }
     }
 
@@ -68,13 +67,13 @@
     }
 
     /// Another node has told which partitions it owns.
-    pub fn told(&self, address: SocketAddr, reports: Vec<(u16, Report)>) {
-        self.directory.told(address, reports);
+    pub fn update_owners(&self, address: SocketAddr, reports: Vec<(u16, Report)>) {
+        self.directory.update_owners(address, reports);
     }
 
     /// Answers another node's call for room in a quota that this node keeps.
     pub async fn reserve(&self, body: &[u8]) -> Option<Vec<u8>> {
-        keeper::answer(&self.directory, body).await
+        coordinator::answer(&self.directory, body).await
     }
 
     /// Stays in the group until `leave`. `found` gets the addresses of other members, `silence`
@@ -230,7 +229,7 @@
                 continue;
             };
             found(address);
-            self.directory.found(number, address);
+            self.directory.discover_owner(number, address);
         }
     }
 }
--- a/serving/src/batch/mod.rs
+++ b/serving/src/batch/mod.rs
@@ -5,13 +5,13 @@
 //! * `order` tells which items run first over all owners.
 //! * `owner` writes one partition: the group deals partitions, an epoch fences the writer.
 //! * `run` runs one item at an upstream.
-//! * `quota` counts the tokens that wait over all partitions; `keeper` asks for room.
+//! * `quota` counts the tokens that wait over all partitions; `coordinator` asks for room.
 //! * `directory` tells who owns which partition.
 //! * `group` joins the group and starts and ends the owners.
 
+mod coordinator;
 mod directory;
 mod group;
-mod keeper;
 pub mod ledger;
 pub mod order;
 mod owner;
@@ -20,8 +20,8 @@
 mod run;
 mod settings;
 
+pub use coordinator::PATH as RESERVE_PATH;
 pub use directory::{Place, partition};
 pub use group::{Group, TOPIC};
-pub use keeper::PATH as RESERVE_PATH;
 pub use owner::{Accepted, Handle, Page, Unavailable};
 pub use settings::Settings;
--- a/serving/src/batch/owner/calls.rs
+++ b/serving/src/batch/owner/calls.rs
@@ -8,7 +8,7 @@
 use crate::{catalog::Route, id::Job as JobId, time::Millis};
 
 use super::{
-    super::{keeper::Ask, ledger::Ledger, quota::Verdict, record::Head},
+    super::{coordinator::Ask, ledger::Ledger, quota::Verdict, record::Head},
     Owner, Release,
     handle::{Accepted, Command, Found, Page, Unavailable},
     writes::Effect,
@@ -93,11 +93,11 @@
         if route.token_quota == 0 {
             return self.reserved(id, Ok(Verdict::Granted));
         }
-        let keeper = self.tools.keeper.clone();
-        self.reservations.spawn(async move { (id, keeper.reserve(ask).await) });
+        let coordinator = self.tools.coordinator.clone();
+        self.reservations.spawn(async move { (id, coordinator.reserve(ask).await) });
     }
 
-    /// The keeper of the quota has answered for a job.
+    /// The coordinator of the quota has answered for a job.
     pub(super) fn reserved(&mut self, id: JobId, verdict: Result<Verdict, Unavailable>) {
         let Some(Reserving { head, route, replies }) = self.reserving.remove(&id) else { return };
         let answer = match verdict {
@@ -151,7 +151,7 @@
             return Ok(Verdict::Granted);
         }
         let now = self.tools.context.clock.now();
-        let mut quota = self.tools.keeper.directory.quota();
+        let mut quota = self.tools.coordinator.directory.quota();
         Ok(quota.reserve(now, &ask.job, &ask.route, ask.tokens, limit))
     }
 
--- a/serving/src/batch/owner/handle.rs
+++ b/serving/src/batch/owner/handle.rs
@@ -11,7 +11,7 @@
 use crate::{id::Job as JobId, time::Millis};
 
 use super::super::{
-    keeper::Ask,
+    coordinator::Ask,
     quota::Verdict,
     record::{Head, Outcome},
 };
--- a/serving/src/batch/owner/items.rs
+++ b/serving/src/batch/owner/items.rs
@@ -63,7 +63,7 @@
                 continue;
             }
             let room = *room.entry(service.clone()).or_insert_with(|| self.room(&service));
-            let quota = self.tools.keeper.directory.quota();
+            let quota = self.tools.coordinator.directory.quota();
             let ahead = quota.ahead(self.partition.number, urgency) + index as u32;
             drop(quota);
             if ahead >= room || !self.start(item, &service) {
--- a/serving/src/batch/owner/mod.rs
+++ b/serving/src/batch/owner/mod.rs
@@ -29,7 +29,7 @@
 };
 
 use super::{
-    Settings, keeper,
+    Settings, coordinator,
     ledger::{ItemId, Ledger, Progress},
     order::{self, Forecast},
     quota::{Report, Verdict},
@@ -64,7 +64,7 @@
     pub(super) catalog: catalog::Shared,
     pub(super) store: log_store::Shared,
     pub(super) settings: Settings,
-    pub(super) keeper: keeper::Client,
+    pub(super) coordinator: coordinator::Client,
 }
 
 /// Starts the owner of a partition. It ends when it is fenced or its task is aborted.
@@ -275,7 +275,7 @@
         }
         let ready = order::groups(&self.waiting(), READY_GROUPS);
         let report = Report { epoch: self.producer.epoch, waiting, ready };
-        self.tools.keeper.directory.quota().report(self.partition.number, report);
+        self.tools.coordinator.directory.quota().report(self.partition.number, report);
     }
 
     /// The route of a job in the configuration that is in force.
--- a/serving/src/exchange/task.rs
+++ b/serving/src/exchange/task.rs
@@ -25,6 +25,8 @@
     trace::Trace,
 };
 
+/// Events that wait for the caller to read them.
+const RELAY_EVENTS: usize = 16;
 /// How long a caller whose request crashes upstreams is told to stay away.
 const QUARANTINE_RETRY: Millis = Millis(1_000);
 
@@ -193,9 +195,6 @@
     }
 }
 
-/// Events that wait for the caller to read them.
-const RELAY_EVENTS: usize = 16;
-
 pub(super) fn finish(mut lease: Lease, outcome: Outcome) {
     lease.outcome = outcome;
 }
--- a/serving/src/peers/state.rs
+++ b/serving/src/peers/state.rs
@@ -13,7 +13,7 @@
 struct Peer {
     /// Unknown until its first message.
     identity: Option<(Vm, Incarnation, u64)>,
-    heard: Millis,
+    received: Millis,
 }
 
 /// What a node knows of its peers.
@@ -23,16 +23,16 @@
     own: SocketAddr,
     peers: BTreeMap<SocketAddr, Peer>,
     /// When the last message was sent.
-    told: Option<Millis>,
+    last_sent: Option<Millis>,
     /// Which peers are introduced next.
     turn: usize,
     /// When the last message of any peer came.
-    heard: Option<Millis>,
+    received: Option<Millis>,
 }
 
 impl State {
     pub fn new(settings: Settings, own: SocketAddr) -> State {
-        State { settings, own, peers: BTreeMap::new(), told: None, turn: 0, heard: None }
+        State { settings, own, peers: BTreeMap::new(), last_sent: None, turn: 0, received: None }
     }
 
     pub fn addresses(&self) -> impl Iterator<Item = SocketAddr> {
@@ -40,18 +40,19 @@
     }
 
     /// Another node may be at this address.
-    pub fn found(&mut self, now: Millis, address: SocketAddr) {
+    pub fn discover(&mut self, now: Millis, address: SocketAddr) {
         if address != self.own {
-            self.peers.entry(address).or_insert(Peer { identity: None, heard: now });
+            self.peers.entry(address).or_insert(Peer { identity: None, received: now });
         }
     }
 
     /// A message has come. Tells whether it is news; a late one isn't.
-    pub fn heard(&mut self, now: Millis, message: &Message) -> bool {
+    pub fn receive(&mut self, now: Millis, message: &Message) -> bool {
         if message.address == self.own {
             return false;
         }
-        let peer = self.peers.entry(message.address).or_insert(Peer { identity: None, heard: now });
+        let peer =
+            self.peers.entry(message.address).or_insert(Peer { identity: None, received: now });
         let order = (message.incarnation, message.sequence);
         let is_late = peer
             .identity
@@ -61,10 +62,10 @@
             return false;
         }
         peer.identity = Some((message.vm.clone(), message.incarnation, message.sequence));
-        peer.heard = now;
-        self.heard = Some(now);
+        peer.received = now;
+        self.received = Some(now);
         for address in &message.peers {
-            self.found(now, *address);
+            self.discover(now, *address);
         }
         if message.leaving {
             self.peers.remove(&message.address);
@@ -72,9 +73,9 @@
         true
     }
 
-    /// How long no peer has been heard. `None` while none ever was.
+    /// How long no message has been received. `None` while none ever was.
     pub fn silence(&self, now: Millis) -> Option<Millis> {
-        self.heard.map(|heard| now - heard)
+        self.received.map(|received| now - received)
     }
 
     /// Forgets peers that have been silent for too long.
@@ -83,7 +84,7 @@
         let silent: Vec<SocketAddr> = self
             .peers
             .iter()
-            .filter(|(_, peer)| now - peer.heard >= expiry)
+            .filter(|(_, peer)| now - peer.received >= expiry)
             .map(|(address, _)| *address)
             .collect();
         for address in &silent {
@@ -94,19 +95,19 @@
 
     /// When the next message is due, if what is told has changed or not.
     pub fn due(&self, is_changed: bool) -> Millis {
-        let Some(told) = self.told else { return Millis(0) };
+        let Some(sent) = self.last_sent else { return Millis(0) };
         let per_peer = self.settings.change_per_peer_ms * self.peers.len() as u64;
         let change = self.settings.change_ms + per_peer;
         let interval = match is_changed {
             true => change.min(self.settings.heartbeat_ms),
             false => self.settings.heartbeat_ms,
         };
-        told + Millis(interval)
+        sent + Millis(interval)
     }
 
     /// A message is being sent. Returns the peers that it introduces.
-    pub fn tell(&mut self, now: Millis) -> Vec<SocketAddr> {
-        self.told = Some(now);
+    pub fn introductions(&mut self, now: Millis) -> Vec<SocketAddr> {
+        self.last_sent = Some(now);
         let known = self.peers.iter().filter(|(_, peer)| peer.identity.is_some());
         let known: Vec<SocketAddr> = known.map(|(address, _)| *address).collect();
         let count = self.settings.introductions.min(known.len());
--- a/serving/src/peers/task.rs
+++ b/serving/src/peers/task.rs
@@ -47,7 +47,7 @@
             loads,
             ejected: self.context.balance().ejected(now),
             owned,
-            peers: self.state().tell(now),
+            peers: self.state().introductions(now),
             suspects: self.context.quarantine().all(now),
             leaving: false,
         }
@@ -55,15 +55,15 @@
 
     fn take(&self, message: Message) {
         let now = self.context.clock.now();
-        if !self.state().heard(now, &message) {
+        if !self.state().receive(now, &message) {
             return;
         }
         let mut balance = self.context.balance();
-        balance.told(now, &message.vm, message.loads);
-        balance.told_ejected(now, &message.vm, &message.ejected);
+        balance.update_loads(now, &message.vm, message.loads);
+        balance.update_ejections(now, &message.vm, &message.ejected);
         drop(balance);
         self.context.quarantine().merge(now, message.suspects);
-        self.group.told(message.address, message.owned);
+        self.group.update_owners(message.address, message.owned);
     }
 }
 
--- a/serving/tests/balance.rs
+++ b/serving/tests/balance.rs
@@ -50,7 +50,7 @@
 fn told(state: &mut State, now: u64, vm: &str, loads: &[(usize, u32)]) {
     let load = |online| Load { online, batch: 0 };
     let loads = loads.iter().map(|(index, online)| (Tag::of(&upstream(*index)), load(*online)));
-    state.told(Millis(now), &Vm::from(vm), loads.collect());
+    state.update_loads(Millis(now), &Vm::from(vm), loads.collect());
 }
 
 #[test]
@@ -160,9 +160,9 @@
 fn what_several_nodes_have_ejected_is_left_alone() {
     let mut state = state(2);
     let ejected = [(Tag::of(&upstream(0)), Millis(500))];
-    state.told_ejected(Millis(0), &Vm::from("a"), &ejected);
+    state.update_ejections(Millis(0), &Vm::from("a"), &ejected);
     assert_eq!(choose(&mut state, 1, Class::Online).unwrap().upstream, upstream(0));
-    state.told_ejected(Millis(0), &Vm::from("b"), &ejected);
+    state.update_ejections(Millis(0), &Vm::from("b"), &ejected);
     assert_eq!(choose(&mut state, 1, Class::Online).unwrap().upstream, upstream(1));
     assert_eq!(choose(&mut state, 501, Class::Online).unwrap().upstream, upstream(0));
 }
@@ -172,7 +172,7 @@
     let mut state = state(4);
     let ejected: Vec<_> = (0..3).map(|index| (Tag::of(&upstream(index)), Millis(500))).collect();
     for vm in ["a", "b", "c"] {
-        state.told_ejected(Millis(0), &Vm::from(vm), &ejected);
+        state.update_ejections(Millis(0), &Vm::from(vm), &ejected);
     }
     let chosen: BTreeSet<Upstream> =
         (0..20).map(|_| choose(&mut state, 1, Class::Online).unwrap().upstream).collect();
--- a/serving/tests/peers.rs
+++ b/serving/tests/peers.rs
@@ -41,25 +41,25 @@
 #[test]
 fn late_messages_are_dropped() {
     let mut state = state();
-    assert!(state.heard(Millis(0), &message(2, 1, 5)));
-    assert!(!state.heard(Millis(1), &message(2, 1, 4)));
-    assert!(!state.heard(Millis(1), &message(2, 1, 5)));
-    assert!(state.heard(Millis(2), &message(2, 2, 1)), "a restarted peer begins anew");
+    assert!(state.receive(Millis(0), &message(2, 1, 5)));
+    assert!(!state.receive(Millis(1), &message(2, 1, 4)));
+    assert!(!state.receive(Millis(1), &message(2, 1, 5)));
+    assert!(state.receive(Millis(2), &message(2, 2, 1)), "a restarted peer begins anew");
 }
 
 #[test]
 fn peers_introduce_one_another() {
     let mut state = state();
-    state.heard(Millis(0), &message(2, 1, 1));
+    state.receive(Millis(0), &message(2, 1, 1));
     assert_eq!(state.addresses().collect::<Vec<_>>(), vec![address(2), address(9)]);
-    assert_eq!(state.tell(Millis(0)), vec![address(2)], "only peers that were heard");
+    assert_eq!(state.introductions(Millis(0)), vec![address(2)], "only peers that were heard");
 }
 
 #[test]
 fn silent_peers_are_forgotten() {
     let mut state = state();
-    state.heard(Millis(0), &message(2, 1, 1));
-    state.heard(Millis(2_000), &message(3, 1, 1));
+    state.receive(Millis(0), &message(2, 1, 1));
+    state.receive(Millis(2_000), &message(3, 1, 1));
     let silent = vec![address(2), address(9)];
     assert_eq!(state.expire(Millis(3_500)), silent, "an introduced peer must be heard as well");
 }
@@ -68,7 +68,7 @@
 fn changes_are_told_soon_and_the_rest_at_a_heartbeat() {
     let mut state = state();
     assert_eq!(state.due(false), Millis(0));
-    state.tell(Millis(100));
+    state.introductions(Millis(100));
     let settings = Settings::default();
     assert_eq!(state.due(true), Millis(100 + settings.change_ms));
     assert_eq!(state.due(false), Millis(100 + settings.heartbeat_ms));
@@ -78,9 +78,9 @@
 fn cost_of_news_is_bounded_as_the_fleet_grows() {
     let mut state = state();
     for index in 2..=200 {
-        state.found(Millis(0), address(index));
+        state.discover(Millis(0), address(index));
     }
-    state.tell(Millis(0));
+    state.introductions(Millis(0));
     assert!(state.due(true) >= Millis(200));
     assert!(state.due(true) <= state.due(false));
 }
