fix(batch): a job whose route a node doesn't know yet is kept; suspects in a message are bounded

The head of a job now names the configuration under which it was accepted; only a newer one without the route counts. Messages between nodes held all suspects, which after many deaths exceeds a packet; now the twelve with the most deaths. Tests: job_of_a_route_that_the_node_does_not_know_yet_is_not_given_up, job_is_given_up_some_time_after_its_limit.

--- a/serving/src/batch/ledger/mod.rs
+++ b/serving/src/batch/ledger/mod.rs
@@ -8,7 +8,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::{id::Job as JobId, log_store, time::Millis};
+use crate::{catalog::Catalog, id::Job as JobId, log_store, time::Millis};
 
 use super::record::{self, Head, Key, Outcome, State};
 
@@ -16,6 +16,16 @@
 
 pub use job::{ItemId, Job, Progress};
 
+/// Added to the time after which an item may be abandoned, for clocks that differ.
+const ABANDON_MARGIN: Millis = Millis(5_000);
+
+/// Why the items of a job are given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Hopeless {
+    RouteGone,
+    TimeUp,
+}
+
 /// How a run of an item ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RunEnd {
@@ -201,6 +211,22 @@
         self.finish(&item.job, Outcome { item: item.index, state, output })
     }
 
+    /// Jobs whose unfinished items are to be given up. A route counts as gone only in a newer
+    /// configuration than the one under which the job was accepted: a node may lag behind.
+    pub fn hopeless(&self, catalog: &Catalog, wall: u64) -> Vec<(JobId, Hopeless)> {
+        let reason = |job: &Job| {
+            let Some(route) = catalog.find(&job.head.host, &job.head.path) else {
+                return (catalog.version > job.head.config).then_some(Hopeless::RouteGone);
+            };
+            let limit = route.abandon_after;
+            let is_over = limit.0 > 0 && wall > job.head.accepted + (limit + ABANDON_MARGIN).0;
+            is_over.then_some(Hopeless::TimeUp)
+        };
+        let open = |job: &&Job| job.durable && !job.ended && !job.is_complete();
+        let jobs = self.jobs.iter().filter(|(_, job)| open(job));
+        jobs.filter_map(|(id, job)| Some((id.clone(), reason(job)?))).collect()
+    }
+
     /// Gives up the items of a job whose time or route has ended; the records of each by itself.
     /// Running ones are left alone.
     pub fn abandon(&mut self, id: &JobId) -> Vec<Vec<log_store::Record>> {
--- a/serving/src/batch/owner/calls.rs
+++ b/serving/src/batch/owner/calls.rs
@@ -60,6 +60,7 @@
             }
         }
     }
+
     fn submit(
         &mut self,
         id: JobId,
@@ -117,10 +118,11 @@
     fn accept(
         &mut self,
         id: JobId,
-        head: Head,
+        mut head: Head,
         route: &Route,
         replies: Vec<oneshot::Sender<Result<Accepted, Unavailable>>>,
     ) {
+        head.config = self.tools.catalog.current().map_or(0, |catalog| catalog.version);
         let due = self.tools.context.clock.now() + route.results_due;
         let items = head.items.len();
         match self.ledger.submit(&id, head, due, self.tools.settings.record_bytes) {
--- a/serving/src/batch/owner/items.rs
+++ b/serving/src/batch/owner/items.rs
@@ -23,9 +23,6 @@
     writes::Effect,
 };
 
-/// Added to the time after which an item may be abandoned, for clocks that differ.
-const ABANDON_MARGIN: Millis = Millis(5_000);
-
 /// An item that is running.
 pub(super) struct Running {
     upstream: Upstream,
@@ -165,23 +162,9 @@
         self.next_upkeep = now + UPKEEP.duration();
         let Some(catalog) = self.tools.catalog.current() else { return };
         let wall = self.tools.context.clock.wall().0;
-        let mut over = Vec::new();
-        for (id, job) in self.ledger.jobs() {
-            if !job.durable || job.ended || job.is_complete() {
-                continue;
-            }
-            let route = catalog.find(&job.head.host, &job.head.path);
-            let expired = route.is_some_and(|route| {
-                route.abandon_after.0 > 0
-                    && wall > job.head.accepted + route.abandon_after.0 + ABANDON_MARGIN.0
-            });
-            if route.is_none() || expired {
-                over.push((id.clone(), if expired { "time is up" } else { "route is gone" }));
-            }
-        }
-        for (id, why) in over {
+        for (id, why) in self.ledger.hopeless(&catalog, wall) {
             let given_up = self.ledger.abandon(&id);
-            log::warn!(job = id.0.as_str(), items = given_up.len(), why = why, config = catalog.version; "items given up");
+            log::warn!(job = id.0.as_str(), items = given_up.len(), why:? = why, config = catalog.version; "items given up");
             for records in given_up {
                 self.write(records, Effect::Listed(id.clone()));
             }
--- a/serving/src/batch/record.rs
+++ b/serving/src/batch/record.rs
@@ -18,6 +18,8 @@
     pub path: String,
     /// Unix milliseconds at which the job was accepted.
     pub accepted: u64,
+    /// The version of the configuration under which it was accepted.
+    pub config: u64,
     pub items: Vec<Item>,
 }
 
--- a/serving/src/peers/task.rs
+++ b/serving/src/peers/task.rs
@@ -16,6 +16,8 @@
 
 /// The largest datagram that is read.
 const DATAGRAM_BYTES: usize = 16 << 10;
+/// Suspects in one message at most; each takes some 50 bytes.
+const SUSPECTS: usize = 12;
 /// How often changes are looked for.
 const LOOK: Millis = Millis(10);
 
@@ -48,7 +50,7 @@
             ejected: self.context.balance().ejected(now),
             owned,
             peers: self.state().introductions(now),
-            suspects: self.context.quarantine().all(now),
+            suspects: self.context.quarantine().worst(now, SUSPECTS),
             leaving: false,
         }
     }
--- a/serving/src/quarantine.rs
+++ b/serving/src/quarantine.rs
@@ -165,6 +165,15 @@
         news.into_iter().map(|suspect| aged(now, suspect)).collect()
     }
 
+    /// The suspects with the most deaths, as they go on the wire: as many as a datagram holds
+    /// beside other news.
+    pub fn worst(&self, now: Millis, most: usize) -> Vec<Suspect> {
+        let mut suspects = self.all(now);
+        suspects.sort_by_key(|suspect| std::cmp::Reverse(suspect.deaths.len()));
+        suspects.truncate(most);
+        suspects
+    }
+
     /// Everything known, as it goes on the wire.
     pub fn all(&self, now: Millis) -> Vec<Suspect> {
         let suspect = |(fingerprint, deaths): (&Fingerprint, &Vec<Death>)| {
--- a/serving/tests/jobs.rs
+++ b/serving/tests/jobs.rs
@@ -72,6 +72,7 @@
         host: HOST.to_string(),
         path: "/jobs/1".to_string(),
         accepted: Clock::default().wall().0,
+        config: 0,
         items: (0..items).map(item).collect(),
     }
 }
--- a/serving/tests/ledger.rs
+++ b/serving/tests/ledger.rs
@@ -8,9 +8,10 @@
 };
 use serving::{
     batch::{
-        ledger::{ItemId, Ledger, Progress, RunEnd},
+        ledger::{Hopeless, ItemId, Ledger, Progress, RunEnd},
         record::{Head, Item, State},
     },
+    catalog::{Catalog, Kind, Limits, Route, Share},
     id::Job as JobId,
     log_store::Record,
     time::Millis,
@@ -35,6 +36,7 @@
         host: "a.example".to_string(),
         path: "/x/".to_string(),
         accepted: 1_000,
+        config: 5,
         items: (0..items).map(item).collect(),
     }
 }
@@ -114,6 +116,46 @@
     assert_eq!(ledger.start(&item(0)), progress(3));
 }
 
+fn catalog(version: u64, routes: Vec<Route>) -> Catalog {
+    Catalog::new(version, Limits::default(), routes)
+}
+
+fn route() -> Route {
+    Route {
+        id: "batch".into(),
+        host: "a.example".to_string(),
+        prefix: "/x/".to_string(),
+        kind: Kind::Batch,
+        split: vec![Share { service: "model".into(), weight: 1 }],
+        timeout: Millis(5_000),
+        latency_objective: Millis(400),
+        max_attempts: 3,
+        priority: 2,
+        results_due: Millis(18_000),
+        abandon_after: Millis(60_000),
+        token_quota: 0,
+    }
+}
+
+/// Configurations in quick succession: a new owner may know an older one than the last owner did.
+#[test]
+fn job_of_a_route_that_the_node_does_not_know_yet_is_not_given_up() {
+    let (ledger, _) = accepted(1);
+    assert_eq!(ledger.hopeless(&catalog(4, Vec::new()), 2_000), Vec::new());
+    assert_eq!(ledger.hopeless(&catalog(5, Vec::new()), 2_000), Vec::new());
+    let gone = vec![(JobId::from("job"), Hopeless::RouteGone)];
+    assert_eq!(ledger.hopeless(&catalog(6, Vec::new()), 2_000), gone);
+}
+
+#[test]
+fn job_is_given_up_some_time_after_its_limit() {
+    let (ledger, _) = accepted(1);
+    let catalog = catalog(6, vec![route()]);
+    assert_eq!(ledger.hopeless(&catalog, 1_000 + 60_000), Vec::new());
+    let over = vec![(JobId::from("job"), Hopeless::TimeUp)];
+    assert_eq!(ledger.hopeless(&catalog, 1_000 + 66_000), over);
+}
+
 #[test]
 fn nothing_of_an_ended_job_runs() {
     let (mut ledger, _) = accepted(3);
