--- a/bulrushspread/src/batch/runner/ending.rs
+++ b/bulrushspread/src/batch/runner/ending.rs
@@ -26,6 +26,10 @@
         if run.start() != *start {
             return;
         }
+        if let Fate::Finished { last: Some((index, text)), .. } = &fate {
+            self.token(start, *index, text.clone());
+        }
+        let Some(run) = self.runs.get(&start.ticket) else { return };
         let Some(upstream) = run.upstream().cloned() else { return };
         if let Fate::Died { reason } = fate {
             return self.died(now, &upstream, &reason);
@@ -134,7 +138,7 @@
 
 fn end_run(now: Millis, run: &mut Run, target: Option<Target>, fate: Fate) {
     match fate {
-        Fate::Finished { reason, created } => {
+        Fate::Finished { reason, created, .. } => {
             let body = request::answer(&run.work, &run.text, reason, created);
             run.end(End::Answered { status: 200, body });
         }
--- a/bulrushspread/src/batch/runner/execute.rs
+++ b/bulrushspread/src/batch/runner/execute.rs
@@ -103,11 +103,12 @@
             Ok(event) => event,
             Err(failure) => return fate(context, address, failure).await,
         };
-        let token = Event::Token { start: start.clone(), index: event.index, text: event.text };
-        task::feed(context, token);
         if let Some(reason) = event.finish {
-            return Fate::Finished { reason, created: context.clock.wall().0 / 1_000 };
+            let last = Some((event.index, event.text));
+            return Fate::Finished { last, reason, created: context.clock.wall().0 / 1_000 };
         }
+        let token = Event::Token { start: start.clone(), index: event.index, text: event.text };
+        task::feed(context, token);
     }
     Fate::Broken { reason: "the stream ended early".to_string() }
 }
--- a/bulrushspread/src/batch/runner/message.rs
+++ b/bulrushspread/src/batch/runner/message.rs
@@ -32,8 +32,9 @@
 /// Why a run came to an end.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Fate {
-    /// The stream of an engine is whole. `created` counts seconds since the Unix epoch.
-    Finished { reason: String, created: u64 },
+    /// The stream of an engine is whole. `created` counts seconds since the Unix epoch. The last
+    /// token comes with the end: a run that is paused between the two would ask for one more.
+    Finished { last: Option<(u32, String)>, reason: String, created: u64 },
     /// A plain service answered.
     Answered { status: u16, body: String },
     /// No byte was sent, or the upstream refused without running the request.
--- a/bulrushspread/src/batch/runner/state.rs
+++ b/bulrushspread/src/batch/runner/state.rs
@@ -190,7 +190,7 @@
         self.next_pull = now;
     }
 
-    fn token(&mut self, start: &Start, index: u32, text: String) {
+    pub(super) fn token(&mut self, start: &Start, index: u32, text: String) {
         let Some(run) = self.runs.get_mut(&start.ticket) else { return };
         if run.start() != *start || index as usize != run.text.len() {
             return;
--- a/bulrushspread/tests/batch_runner.rs
+++ b/bulrushspread/tests/batch_runner.rs
@@ -39,7 +39,7 @@
 fn step() -> impl Strategy<Value = Step> {
     let reason = || "test".to_string();
     let fate = prop_oneof![
-        4 => Just(Fate::Finished { reason: "stop".to_string(), created: 1 }),
+        4 => Just(Fate::Finished { last: None, reason: "stop".to_string(), created: 1 }),
         1 => Just(Fate::NotRun { reason: reason() }),
         1 => Just(Fate::Broken { reason: reason() }),
         1 => Just(Fate::Died { reason: reason() }),
