refactor(batch): which items start and make room is decided without I/O

The decision stood within the owner's I/O, so that no test or emulation could run it, and the waiting items were sorted twice after each change. `batch::schedule` decides now; the owner tells what still waits from the same pass. Items that are late whatever happens make room before others, as they already waited behind them.

--- a/serving/src/batch/mod.rs
+++ b/serving/src/batch/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! * `ledger` holds the jobs of one partition and decides what may run; it does no I/O.
 //! * `record` is what the log keeps.
+//! * `schedule` decides which items start and which make room; it does no I/O.
 //! * `order` tells which items run first over all owners.
 //! * `owner` writes one partition: the group deals partitions, an epoch fences the writer.
 //! * `run` runs one item at an upstream.
@@ -18,6 +19,7 @@
 pub mod quota;
 pub mod record;
 mod run;
+pub mod schedule;
 mod settings;
 
 pub use coordinator::PATH as RESERVE_PATH;
--- a/serving/src/batch/owner/calls.rs
+++ b/serving/src/batch/owner/calls.rs
@@ -130,7 +130,7 @@
                 self.submitters.entry(id.clone()).or_default().extend(replies);
                 log::info!(job = id.0.as_str(), items = items, partition = self.partition.number, epoch = self.producer.epoch; "job is being written");
                 self.write(records, Effect::Accepted(id));
-                self.report();
+                self.schedule();
             }
             Err(error) => {
                 log::error!(job = id.0.as_str(), error:% = error; "job can't be encoded");
@@ -186,7 +186,7 @@
         }
         self.enders.entry(id.clone()).or_default().push(reply);
         self.write(vec![record], Effect::Ended(id));
-        self.report();
+        self.schedule();
     }
 
     fn body(&self, id: &JobId, item: &str) -> Option<Bytes> {
--- a/serving/src/batch/owner/items.rs
+++ b/serving/src/batch/owner/items.rs
@@ -18,6 +18,7 @@
         ledger::{ItemId, RunEnd},
         order::{Urgency, Waiting},
         run::{self, Finished, Run},
+        schedule,
     },
     Owner, UPKEEP,
     writes::Effect,
@@ -26,48 +27,62 @@
 /// An item that is running.
 pub(super) struct Running {
     upstream: Upstream,
+    /// Events that earlier runs had left.
+    events: u64,
+    since: Millis,
     pub(super) pause: Option<oneshot::Sender<()>>,
 }
 
 impl Owner {
     /// Items that may run now, in order.
-    pub(super) fn waiting(&self) -> Vec<Waiting> {
-        let clock = &self.tools.context.clock;
-        let (now, wall) = (clock.now(), clock.wall().0);
+    fn waiting(&self) -> Vec<Waiting> {
+        let now = self.tools.context.clock.now();
         let entry = |item: &ItemId| {
-            let job = self.ledger.job(&item.job)?;
-            let due = job.head.accepted + self.route(&job.head)?.results_due.0;
             let left = self.forecast.left(self.ledger.events(item));
-            Some(Waiting { urgency: Urgency::new(wall, due, left), left, item: item.clone() })
+            Some(Waiting { urgency: self.urgency(item, left)?, left, item: item.clone() })
         };
         let mut waiting: Vec<Waiting> = self.ledger.runnable(now).filter_map(entry).collect();
         waiting.sort();
         waiting
     }
 
-    /// Starts the items that are the most urgent ones over all owners, as far as there is room.
+    /// The urgency of an item that still needs so long.
+    fn urgency(&self, item: &ItemId, left: Millis) -> Option<Urgency> {
+        let job = self.ledger.job(&item.job)?;
+        let due = job.head.accepted + self.route(&job.head)?.results_due.0;
+        Some(Urgency::new(self.tools.context.clock.wall().0, due, left))
+    }
+
+    /// Starts the items that are the most urgent ones over all owners, as far as there is room,
+    /// and tells the node which ones still wait.
     pub(super) fn schedule(&mut self) {
-        if self.releasing.is_some() {
-            return;
-        }
-        let mut full = BTreeSet::new();
-        let mut room = BTreeMap::new();
-        for (index, Waiting { urgency, item, .. }) in self.waiting().into_iter().enumerate() {
-            let Some(job) = self.ledger.job(&item.job) else { continue };
-            let Some(route) = self.route(&job.head) else { continue };
-            let service = route.service(rand::random()).clone();
-            if full.contains(&service) {
-                continue;
+        let mut services: BTreeMap<Service, Vec<Waiting>> = BTreeMap::new();
+        let mut left = Vec::new();
+        for entry in self.waiting() {
+            let job = self.ledger.job(&entry.item.job);
+            match job.and_then(|job| self.route(&job.head)) {
+                Some(route) if self.releasing.is_none() => {
+                    let service = route.service(rand::random()).clone();
+                    services.entry(service).or_default().push(entry);
+                }
+                Some(_) | None => left.push(entry),
             }
-            let room = *room.entry(service.clone()).or_insert_with(|| self.room(&service));
+        }
+        for (service, mut waiting) in services {
+            let room = self.room(&service);
             let quota = self.tools.coordinator.directory.quota();
-            let ahead = quota.ahead(self.partition.number, urgency) + index as u32;
+            let ahead = |urgency| quota.ahead(self.partition.number, urgency);
+            let mut count = schedule::starts(&waiting, room, ahead);
             drop(quota);
-            if ahead >= room || !self.start(item, &service) {
-                full.insert(service);
+            if let Some(refused) =
+                waiting[..count].iter().position(|entry| !self.start(entry.item.clone(), &service))
+            {
+                count = refused;
             }
+            left.extend(waiting.drain(count..));
         }
-        self.report();
+        left.sort();
+        self.report(&left);
     }
 
     /// Starts an item if an upstream has room.
@@ -89,8 +104,13 @@
             return false;
         };
         let (pause, paused) = oneshot::channel();
-        let upstream = lease.pick.upstream.clone();
-        self.running.insert(item.clone(), Running { upstream, pause: Some(pause) });
+        let running = Running {
+            upstream: lease.pick.upstream.clone(),
+            events: self.ledger.events(&item),
+            since: context.clock.now(),
+            pause: Some(pause),
+        };
+        self.running.insert(item.clone(), running);
         let run = Run {
             context: Arc::clone(context),
             progress: self.ledger.start(&item),
@@ -111,24 +131,23 @@
         context.balance().batch_room(context.clock.now(), service)
     }
 
-    /// Pauses items at upstreams that hold more requests than they have slots; those that are
-    /// due last make room first.
+    /// Pauses items at upstreams that hold more requests than they have slots.
     pub(super) fn make_room(&mut self) {
-        let mut overfull = self.tools.context.balance().overfull();
+        let overfull = self.tools.context.balance().overfull();
         if overfull.is_empty() {
             return;
         }
-        let mut items: Vec<&ItemId> = self.running.keys().collect();
-        items.sort_by_key(|item| std::cmp::Reverse((self.ledger.due(item), item.index)));
-        let items: Vec<ItemId> = items.into_iter().cloned().collect();
-        for item in items {
-            let Some(running) = self.running.get_mut(&item) else { continue };
-            let Some(excess) = overfull.get_mut(&running.upstream) else { continue };
-            if *excess == 0 {
-                continue;
-            }
-            if let Some(pause) = running.pause.take() {
-                *excess -= 1;
+        let now = self.tools.context.clock.now();
+        let candidate = |(item, running): (&ItemId, &Running)| {
+            let events = running.events + self.forecast.events_within(now - running.since);
+            let urgency = self.urgency(item, self.forecast.left(events)).unwrap_or(Urgency::LEAST);
+            schedule::Running { item: item.clone(), upstream: running.upstream.clone(), urgency }
+        };
+        let running = self.running.iter().filter(|(_, running)| running.pause.is_some());
+        for item in schedule::pauses(running.map(candidate).collect(), overfull) {
+            let pause = self.running.get_mut(&item).and_then(|running| running.pause.take());
+            if let Some(pause) = pause {
+                // A run that has just ended needs no pause.
                 let _ = pause.send(());
             }
         }
@@ -150,7 +169,6 @@
         let records = self.ledger.ran(now, &id, &end, progress, attempts, retry);
         if !records.is_empty() {
             self.write(records, Effect::Listed(id.job));
-            self.report();
         }
     }
 
--- a/serving/src/batch/owner/mod.rs
+++ b/serving/src/batch/owner/mod.rs
@@ -183,7 +183,7 @@
     }
 
     async fn run(mut self, mut commands: mpsc::Receiver<Command>) {
-        self.report();
+        self.schedule();
         let mut next_schedule = Instant::now();
         loop {
             if self.is_released() {
@@ -266,14 +266,14 @@
     }
 
     /// Tells the node what waits here.
-    fn report(&self) {
+    fn report(&self, waiting_items: &[order::Waiting]) {
         let mut waiting = BTreeMap::new();
         for (_, job) in self.ledger.jobs().filter(|(_, job)| !job.ended) {
             if let Some(route) = self.route(&job.head) {
                 *waiting.entry(route.id.clone()).or_default() += job.waiting_tokens;
             }
         }
-        let ready = order::groups(&self.waiting(), READY_GROUPS);
+        let ready = order::groups(waiting_items, READY_GROUPS);
         let report = Report { epoch: self.producer.epoch, waiting, ready };
         self.tools.coordinator.directory.quota().report(self.partition.number, report);
     }
--- a/serving/src/batch/owner/writes.rs
+++ b/serving/src/batch/owner/writes.rs
@@ -129,6 +129,7 @@
                     .into_iter()
                     .partition(|write| matches!(write.effect, Effect::Accepted(_)));
                 self.reject(submissions, Unavailable::NotAccepted);
+                self.schedule();
                 if !kept.is_empty() {
                     self.append(kept, false, RETRY);
                 }
@@ -165,7 +166,6 @@
         for write in writes {
             let Effect::Accepted(id) = write.effect else { continue };
             self.ledger.withdraw(&id);
-            self.report();
             log::info!(job = id.0.as_str(), outcome:? = why; "job not accepted");
             for reply in self.submitters.remove(&id).unwrap_or_default() {
                 let _ = reply.send(Err(why));
--- /dev/null
+++ b/serving/tests/schedule.rs
@@ -0,0 +1,65 @@
+//! Which batch items start and which make room, over all owners.
+
+use std::collections::BTreeMap;
+
+use serving::{
+    batch::{
+        ledger::ItemId,
+        order::{Urgency, Waiting},
+        schedule::{Running, pauses, starts},
+    },
+    id::Upstream,
+    time::Millis,
+};
+
+fn item(index: u32) -> ItemId {
+    ItemId { job: "job".into(), index }
+}
+
+fn urgency(due: u64) -> Urgency {
+    Urgency { late: false, due }
+}
+
+fn waiting(dues: &[u64]) -> Vec<Waiting> {
+    let entry = |(index, due): (u32, &u64)| {
+        let left = Millis(1_000);
+        Waiting { urgency: urgency(*due), left, item: item(index) }
+    };
+    (0..).zip(dues).map(entry).collect()
+}
+
+fn running(index: u32, upstream: &str, urgency: Urgency) -> Running {
+    Running { item: item(index), upstream: Upstream::from(upstream), urgency }
+}
+
+/// A lull: three places are free, and two owners hold items.
+#[test]
+fn owners_share_a_lull_by_urgency() {
+    let mine = waiting(&[100, 300, 500]);
+    let theirs = [200, 250];
+    let ahead = |urgency: Urgency| theirs.iter().filter(|due| **due < urgency.due).count() as u32;
+    assert_eq!(starts(&mine, 3, ahead), 1, "the item due at 300 is the fourth one");
+    assert_eq!(starts(&mine, 4, ahead), 2);
+    assert_eq!(starts(&mine, 0, ahead), 0);
+    assert_eq!(starts(&mine, 9, ahead), 3);
+}
+
+/// A burst: online requests need places, and some items are late whatever happens.
+#[test]
+fn burst_takes_places_from_late_items_first() {
+    let late = Urgency { late: true, due: 50 };
+    let items = vec![
+        running(0, "a", urgency(100)),
+        running(1, "a", late),
+        running(2, "a", urgency(300)),
+        running(3, "b", late),
+    ];
+    let overfull = BTreeMap::from([(Upstream::from("a"), 2)]);
+    assert_eq!(pauses(items, overfull), vec![item(1), item(2)]);
+}
+
+#[test]
+fn upstreams_with_room_keep_their_items() {
+    let items = vec![running(0, "a", urgency(100)), running(1, "b", urgency(100))];
+    assert_eq!(pauses(items, BTreeMap::new()), Vec::new());
+}
--- /dev/null
+++ b/standins/src/emulator/fleet.rs
@@ -0,0 +1,386 @@
+//! All engines and nodes of a day, and the time that passes, a millisecond a step.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use serving::{
+    balance::{self, Class, Loads, Outcome, Pick, Want},
+    batch::{
+        quota::{self, Report},
+        schedule,
+    },
+    fleet::Entry,
+    id::{DataCentre, Service, Upstream, Vm},
+    time::Millis,
+};
+
+use super::{
+    Scenario, Tally,
+    arrivals::{Day, Request},
+    engine::{self, Engine, Run, Work},
+    owner::Owner,
+    tally::Account,
+};
+
+/// How long a node takes to see that an engine has died under a request.
+const DEATH_SEEN_MS: u64 = 5;
+/// The longest part of a caller's remaining time for which it stays away when it is asked to.
+const RETURN_SHARE: u64 = 3;
+
+/// Something on its way.
+#[derive(Clone, Debug)]
+enum Event {
+    /// A caller's request reaches a node; the number of its tries before.
+    Call(usize, usize),
+    Arrive(usize, Run),
+    Cancel(usize, Work),
+    First(usize),
+    Done(Work),
+    Died(Work),
+    News(usize, usize, Loads, Vec<(u16, Report)>),
+}
+
+struct Node {
+    balance: balance::State,
+    quota: quota::State,
+    reports: BTreeMap<u16, Report>,
+}
+
+/// What has become of a caller's request.
+#[derive(Clone, Debug, Default)]
+struct Call {
+    pick: Option<(usize, Pick)>,
+    first: Option<u64>,
+    done: bool,
+    refused: bool,
+}
+
+pub(super) struct Fleet<'a> {
+    scenario: &'a Scenario,
+    day: Day,
+    rng: SmallRng,
+    service: Service,
+    index: BTreeMap<Upstream, usize>,
+    engines: Vec<Engine>,
+    nodes: Vec<Node>,
+    owners: Vec<Owner>,
+    calls: Vec<Call>,
+    events: BTreeMap<u64, Vec<Event>>,
+    tally: Tally,
+    now: u64,
+}
+
+impl<'a> Fleet<'a> {
+    pub(super) fn new(scenario: &'a Scenario, day: Day, seed: u64) -> Fleet<'a> {
+        let service = Service::from("model");
+        let place = |index: usize| DataCentre(format!("dc-{}", index % scenario.data_centres));
+        let entry = |index: usize| Entry {
+            service: service.clone(),
+            address: ([10, 0, (index >> 8) as u8, index as u8], 80).into(),
+            data_centre: place(index),
+            slots: scenario.engine.slots as u32,
+            draining: false,
+            started: 1,
+        };
+        let count = scenario.replicas.len();
+        let upstream = |index: usize| Upstream(format!("replica-{index:03}"));
+        let entries: BTreeMap<Upstream, Entry> =
+            (0..count).map(|index| (upstream(index), entry(index))).collect();
+        let partitions = scenario.batching.partitions;
+        let node = |index: usize| {
+            let seed = seed ^ ((index as u64 + 1) << 32);
+            let mut balance = balance::State::new(scenario.balance.clone(), place(index), seed);
+            balance.update(&entries);
+            Node { balance, quota: quota::State::new(partitions), reports: BTreeMap::new() }
+        };
+        let owner = |number: u16| Owner::new(number, usize::from(number) % scenario.nodes);
+        let mut events: BTreeMap<u64, Vec<Event>> = BTreeMap::new();
+        for (index, request) in day.requests.iter().enumerate() {
+            events.entry(request.at).or_default().push(Event::Call(index, 0));
+        }
+        Fleet {
+            scenario,
+            rng: SmallRng::seed_from_u64(seed ^ 0x5eed),
+            index: (0..count).map(|index| (upstream(index), index)).collect(),
+            engines: vec![Engine::default(); count],
+            nodes: (0..scenario.nodes).map(node).collect(),
+            owners: (0..partitions).map(owner).collect(),
+            calls: vec![Call::default(); day.requests.len()],
+            service,
+            day,
+            events,
+            tally: Tally::default(),
+            now: 0,
+        }
+    }
+
+    pub(super) fn play(mut self) -> Tally {
+        let mut next_job = 0;
+        for now in 0..self.scenario.length_ms + self.scenario.tail_ms {
+            while let Some(job) = self.day.jobs.get(next_job).filter(|job| job.at <= now) {
+                let owner = next_job % self.owners.len();
+                self.owners[owner].submit(job, self.scenario.batch.due_ms);
+                next_job += 1;
+            }
+            self.now = now;
+            for event in self.events.remove(&now).unwrap_or_default() {
+                self.take(now, event);
+            }
+            self.run_engines(now);
+            self.run_owners(now);
+            self.send_news(now);
+        }
+        self.account();
+        self.tally
+    }
+
+    /// Something happens at `at`, or in the next millisecond if that has begun.
+    fn later(&mut self, at: u64, event: Event) {
+        self.events.entry(at.max(self.now + 1)).or_default().push(event);
+    }
+
+    /// One way between a node and an engine.
+    fn link(&self, node: usize, engine: usize) -> u64 {
+        let places = self.scenario.data_centres;
+        if node % places == engine % places { 0 } else { self.scenario.link_ms }
+    }
+
+    fn take(&mut self, now: u64, event: Event) {
+        match event {
+            Event::Call(index, tries) => self.call(now, index, tries),
+            Event::Arrive(engine, run) => {
+                if self.scenario.replicas[engine].factor(now).is_some() {
+                    return self.engines[engine].push(run);
+                }
+                self.later(now + DEATH_SEEN_MS, Event::Died(run.work));
+            }
+            Event::Cancel(engine, work) => {
+                let tokens = self.engines[engine].cancel(work);
+                self.item_ran(now, work, tokens / self.scenario.engine.stride, Outcome::Neutral);
+            }
+            Event::First(index) => {
+                self.calls[index].first.get_or_insert(now);
+            }
+            Event::Done(work) => match work {
+                Work::Online(index) => {
+                    self.calls[index].done = true;
+                    self.end_call(now, index, Outcome::Succeeded);
+                }
+                Work::Item(owner, item) => {
+                    let item = &self.owners[owner].items[item];
+                    let events = item.events - item.made;
+                    self.item_ran(now, work, events, Outcome::Succeeded);
+                }
+            },
+            Event::Died(work) => match work {
+                Work::Online(index) => {
+                    self.end_call(now, index, Outcome::Failed);
+                    if self.calls[index].first.is_none() {
+                        self.call(now, index, 1);
+                    }
+                }
+                Work::Item(..) => self.item_ran(now, work, 0, Outcome::Failed),
+            },
+            Event::News(to, from, loads, reports) => {
+                let node = &mut self.nodes[to];
+                node.balance.update_loads(Millis(now), &Vm(format!("node-{from:03}")), loads);
+                for (partition, report) in reports {
+                    node.quota.report(partition, report);
+                }
+            }
+        }
+    }
+
+    fn call(&mut self, now: u64, index: usize, tries: usize) {
+        let Request { at, nodes, events, .. } = self.day.requests[index].clone();
+        let node = nodes[tries.min(1)];
+        let away = self.scenario.nodes_away.iter().any(|outage| outage.holds(now));
+        let want = Want { service: &self.service, class: Class::Online, avoid: &BTreeSet::new() };
+        let chosen = match away {
+            true => Err(Millis(1_000)),
+            false => self.nodes[node].balance.choose(Millis(now), want).map_err(|refusal| {
+                let (balance::Refusal::Full { retry_after, .. }
+                | balance::Refusal::NoUpstream { retry_after }) = refusal;
+                retry_after
+            }),
+        };
+        match chosen {
+            Ok(pick) => {
+                let engine = self.index[&pick.upstream];
+                self.calls[index].pick = Some((node, pick));
+                let tokens = events * self.scenario.engine.stride;
+                let run = Run::new(Work::Online(index), self.scenario.online.prompt_tokens, tokens);
+                self.later(now + self.link(node, engine), Event::Arrive(engine, run));
+            }
+            Err(retry_after) => {
+                let left = (at + self.scenario.online.patience_ms).saturating_sub(now);
+                let back = now + retry_after.0.min(left / RETURN_SHARE).max(1);
+                match tries {
+                    0 => self.later(back, Event::Call(index, 1)),
+                    _ => self.calls[index].refused = true,
+                }
+            }
+        }
+    }
+
+    fn end_call(&mut self, now: u64, index: usize, outcome: Outcome) {
+        if let Some((node, pick)) = self.calls[index].pick.take() {
+            self.nodes[node].balance.end(Millis(now), &pick, outcome);
+        }
+    }
+
+    fn item_ran(&mut self, now: u64, work: Work, events: u32, outcome: Outcome) {
+        let Work::Item(owner, item) = work else { return };
+        let owner = &mut self.owners[owner];
+        if let Some(pick) = owner.ran(item, now, events) {
+            self.nodes[owner.node].balance.end(Millis(now), &pick, outcome);
+        }
+    }
+
+    fn run_engines(&mut self, now: u64) {
+        for engine in 0..self.engines.len() {
+            let Some(factor) = self.scenario.replicas[engine].factor(now) else {
+                for work in self.engines[engine].crash() {
+                    self.later(now + DEATH_SEEN_MS, Event::Died(work));
+                }
+                continue;
+            };
+            for event in self.engines[engine].advance(now, &self.scenario.engine, factor) {
+                let (engine::Event::First(work) | engine::Event::Done(work)) = event;
+                let node = match work {
+                    Work::Online(index) => self.calls[index].pick.as_ref().map(|(node, _)| *node),
+                    Work::Item(owner, _) => Some(self.owners[owner].node),
+                };
+                let at = now + 1 + node.map_or(0, |node| self.link(node, engine));
+                match (event, work) {
+                    (engine::Event::First(_), Work::Online(index)) => {
+                        self.later(at, Event::First(index));
+                    }
+                    (engine::Event::First(_), Work::Item(..)) => {}
+                    (engine::Event::Done(_), work) => self.later(at, Event::Done(work)),
+                }
+            }
+        }
+    }
+
+    fn run_owners(&mut self, now: u64) {
+        for owner in 0..self.owners.len() {
+            // Owners don't look at the same time.
+            if (now + 3 * owner as u64) % self.scenario.batching.schedule_ms == 0 {
+                self.make_room(now, owner);
+                self.schedule(now, owner);
+            }
+        }
+    }
+
+    fn make_room(&mut self, now: u64, owner: usize) {
+        let node = self.owners[owner].node;
+        let overfull = self.nodes[node].balance.overfull();
+        for item in self.owners[owner].pauses(now, overfull) {
+            let work = Work::Item(owner, item);
+            let Some(engine) = self.owners[owner].upstream(work).map(|id| self.index[id]) else {
+                continue;
+            };
+            self.tally.pauses += 1;
+            self.later(now + 1 + self.link(node, engine), Event::Cancel(engine, work));
+        }
+    }
+
+    fn schedule(&mut self, now: u64, owner: usize) {
+        let node = self.owners[owner].node;
+        let partition = self.owners[owner].partition;
+        let mut waiting = self.owners[owner].waiting(now);
+        let room = self.nodes[node].balance.batch_room(Millis(now), &self.service);
+        let quota = &self.nodes[node].quota;
+        let count = schedule::starts(&waiting, room, |urgency| quota.ahead(partition, urgency));
+        let mut started = 0;
+        for entry in &waiting[..count] {
+            let class = Class::Batch;
+            let want = Want { service: &self.service, class, avoid: &BTreeSet::new() };
+            let Ok(pick) = self.nodes[node].balance.choose(Millis(now), want) else { break };
+            let index = entry.item.index as usize;
+            let engine = self.index[&pick.upstream];
+            self.owners[owner].started(index, now, pick);
+            let item = &self.owners[owner].items[index];
+            let stride = self.scenario.engine.stride;
+            let prompt = self.scenario.batch.prompt_tokens + item.made * stride;
+            let tokens = (item.events - item.made) * stride;
+            let run = Run::new(Work::Item(owner, index), prompt, tokens);
+            self.later(now + self.link(node, engine), Event::Arrive(engine, run));
+            started += 1;
+        }
+        waiting.drain(..started);
+        let report = self.owners[owner].report(&waiting);
+        self.nodes[node].quota.report(partition, report.clone());
+        self.nodes[node].reports.insert(partition, report);
+    }
+
+    fn send_news(&mut self, now: u64) {
+        let news = &self.scenario.news;
+        let (interval, loss, fan_out) = (news.interval_ms, news.loss, news.fan_out);
+        let count = self.nodes.len();
+        for from in 0..count {
+            if (now + 5 * from as u64) % interval != 0 {
+                continue;
+            }
+            let loads = self.nodes[from].balance.own();
+            let reports: Vec<(u16, Report)> =
+                self.nodes[from].reports.iter().map(|(n, report)| (*n, report.clone())).collect();
+            let others = count - 1;
+            let first = self.rng.random_range(0..others.max(1));
+            for offset in 0..others.min(fan_out) {
+                let to = (from + 1 + (first + offset) % others) % count;
+                self.tally.messages += 1;
+                if self.rng.random::<f64>() >= loss {
+                    let at = now + 1 + self.link(from, to);
+                    self.later(at, Event::News(to, from, loads.clone(), reports.clone()));
+                }
+            }
+        }
+    }
+
+    fn account(&mut self) {
+        let online = &self.scenario.online;
+        let mut account = Account::default();
+        for (call, request) in self.calls.iter().zip(&self.day.requests) {
+            account.count += 1;
+            account.owed += online.worth;
+            account.refused += u32::from(call.refused);
+            let in_time = call.first.is_some_and(|at| at - request.at <= online.objective_ms);
+            match (call.done, in_time) {
+                (true, true) if request.loses_packet => {
+                    account.lost_packet += 1;
+                    account.earned += online.worth_late;
+                }
+                (true, true) => {
+                    account.in_time += 1;
+                    account.earned += online.worth;
+                }
+                (true, false) => {
+                    account.late += 1;
+                    account.earned += online.worth_late;
+                }
+                (false, _) => {}
+            }
+        }
+        self.tally.online = account;
+        let batch = &self.scenario.batch;
+        let mut account = Account::default();
+        for item in self.owners.iter().flat_map(|owner| &owner.items) {
+            account.count += 1;
+            account.owed += batch.worth;
+            match item.ended {
+                Some(at) if at <= item.due => {
+                    account.in_time += 1;
+                    account.earned += batch.worth;
+                }
+                Some(_) => {
+                    account.late += 1;
+                    account.earned += batch.worth_late;
+                }
+                None => {}
+            }
+        }
+        self.tally.batch = account;
+    }
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod capacity;
 pub mod client;
+pub mod emulator;
 pub mod engine;
 pub mod experiment;
 pub mod fleet;
