perf(balance, peers): what a request and a node's news cost no longer grows with the fleet

Each request copied and looked through all upstreams; each change of the registry rebuilt the state of all; what a node has in flight was collected from all upstreams a hundred times a second; and each node told all others.

Change: upstreams are kept by service, a request looks at a dozen; changes of the fleet are taken over one by one; requests in flight and ejections are counted as they change. An entry that changes otherwise than by draining is told as a change of its own, which the whole rebuild hid.

Ruled out: fewer heartbeats alone (the quadratic start stays).

--- a/serving/src/balance/mod.rs
+++ b/serving/src/balance/mod.rs
@@ -1,5 +1,6 @@
 //! Chooses the upstream of a request, and refuses what can't be served in time.
 
+mod choice;
 mod load;
 mod replica;
 mod request;
--- a/serving/src/balance/state.rs
+++ b/serving/src/balance/state.rs
@@ -1,15 +1,13 @@
 //! The state of the balance slice.
 //!
 //! An upstream's load is what this node has in flight there plus what the other nodes told last.
-//! The least loaded upstream is chosen; one of another data centre must be ahead by a margin.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
     ops::{Add, Sub},
 };
 
-use rand::{RngExt, SeedableRng, rngs::SmallRng, seq::index};
-use xxhash_rust::xxh3::xxh3_64_with_seed;
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
 use crate::{
     fleet::Entry,
@@ -21,81 +19,102 @@
     Settings,
     load::{Load, Loads, Tag},
     replica::Replica,
-    request::{Class, Outcome, Pick, Refusal, Want},
+    request::{Class, Outcome, Pick},
 };
 
-/// Upstreams that are compared for one request at most.
-const SAMPLE_FROM: usize = 12;
-/// Upstreams of a large service that a node favours; together they hold its usual load.
-const FAVOURITES: usize = 6;
-
-/// What a node knows of the load of all upstreams.
+/// What a node knows of the load of all upstreams. What is done for each request costs the same
+/// for any number of upstreams, but for the refusal of one.
 pub struct State {
-    settings: Settings,
-    home: DataCentre,
-    rng: SmallRng,
-    replicas: BTreeMap<Upstream, Replica>,
+    pub(super) settings: Settings,
+    pub(super) home: DataCentre,
+    pub(super) rng: SmallRng,
+    pub(super) seed: u64,
+    pub(super) replicas: BTreeMap<Upstream, Replica>,
     tags: BTreeMap<Tag, Upstream>,
-    /// Upstreams of large services to which this node keeps connections.
-    favourites: BTreeSet<Upstream>,
-    seed: u64,
+    pub(super) services: BTreeMap<Service, Members>,
+    /// Requests of this node in flight: `Replica::own` of those upstreams that have any.
+    busy: Loads,
+    /// Upstreams that this node has ejected, perhaps some whose ejection is over.
+    ejected: BTreeSet<Upstream>,
     /// What each other node told last, and when. Summed up in `Replica::others`.
     nodes: BTreeMap<Vm, (Millis, Loads)>,
     /// No node's news expire before this time.
     next_expiry: Millis,
 }
 
+/// The upstreams of one service.
+#[derive(Default)]
+pub(super) struct Members {
+    /// In order.
+    pub(super) upstreams: Vec<Upstream>,
+    /// Those to which this node keeps connections, where there are many. `None` after a change.
+    pub(super) favourites: Option<BTreeSet<Upstream>>,
+}
+
 impl State {
     pub fn new(settings: Settings, home: DataCentre, seed: u64) -> State {
         State {
             settings,
             home,
             rng: SmallRng::seed_from_u64(seed),
+            seed,
             replicas: BTreeMap::new(),
             tags: BTreeMap::new(),
-            favourites: BTreeSet::new(),
-            seed,
+            services: BTreeMap::new(),
+            busy: Loads::new(),
+            ejected: BTreeSet::new(),
             nodes: BTreeMap::new(),
             next_expiry: Millis(0),
         }
     }
 
-    /// Takes over the entries of the fleet. What is known of staying upstreams is kept; one that
-    /// started anew begins without a history.
+    /// Takes over the entries of the fleet as a whole.
     pub fn update(&mut self, entries: &BTreeMap<Upstream, Entry>) {
-        self.replicas.retain(|upstream, replica| {
-            entries.get(upstream).is_some_and(|entry| entry.started == replica.entry.started)
-        });
-        for (upstream, entry) in entries {
-            let replica = self
-                .replicas
-                .entry(upstream.clone())
-                .or_insert_with(|| Replica::new(entry.clone()));
+        let gone: Vec<Upstream> =
+            self.replicas.keys().filter(|known| !entries.contains_key(*known)).cloned().collect();
+        gone.iter().for_each(|upstream| self.remove(upstream));
+        entries.iter().for_each(|(upstream, entry)| self.put(upstream, entry));
+    }
+
+    /// An upstream is there or has changed. What is known of it is kept, unless it started anew.
+    pub fn put(&mut self, upstream: &Upstream, entry: &Entry) {
+        if let Some(replica) = self.replicas.get_mut(upstream)
+            && replica.entry.started == entry.started
+            && replica.entry.service == entry.service
+        {
             replica.entry = entry.clone();
-            replica.others = Load::default();
+            return;
         }
-        self.tags = self.replicas.keys().map(|id| (Tag::of(id), id.clone())).collect();
-        for (_, loads) in self.nodes.clone().into_values() {
-            self.sum(&loads, Load::add);
+        self.remove(upstream);
+        let tag = Tag::of(upstream);
+        let mut replica = Replica::new(entry.clone());
+        for (_, loads) in self.nodes.values() {
+            replica.others = replica.others + loads.get(&tag).copied().unwrap_or_default();
         }
-        self.favour();
+        self.replicas.insert(upstream.clone(), replica);
+        self.tags.insert(tag, upstream.clone());
+        let members = self.services.entry(entry.service.clone()).or_default();
+        if let Err(position) = members.upstreams.binary_search(upstream) {
+            members.upstreams.insert(position, upstream.clone());
+        }
+        members.favourites = None;
     }
 
-    /// Draws the favourites: the same ones as before, as far as they are still there.
-    fn favour(&mut self) {
-        let mut services: BTreeMap<&Service, Vec<(bool, u64, &Upstream)>> = BTreeMap::new();
-        for (upstream, replica) in &self.replicas {
-            let is_away = replica.entry.data_centre != self.home;
-            let draw = xxh3_64_with_seed(upstream.0.as_bytes(), self.seed);
-            services.entry(&replica.entry.service).or_default().push((is_away, draw, upstream));
+    /// An upstream is gone.
+    pub fn remove(&mut self, upstream: &Upstream) {
+        let Some(replica) = self.replicas.remove(upstream) else { return };
+        let tag = Tag::of(upstream);
+        self.tags.remove(&tag);
+        self.busy.remove(&tag);
+        self.ejected.remove(upstream);
+        let Some(members) = self.services.get_mut(&replica.entry.service) else { return };
+        if let Ok(position) = members.upstreams.binary_search(upstream) {
+            members.upstreams.remove(position);
         }
-        let mut favourites = BTreeSet::new();
-        for mut upstreams in services.into_values().filter(|list| list.len() > SAMPLE_FROM) {
-            upstreams.sort();
-            let nearest = upstreams.into_iter().take(FAVOURITES);
-            favourites.extend(nearest.map(|(_, _, upstream)| upstream.clone()));
+        members.favourites = None;
+        if members.upstreams.is_empty() {
+            self.services.remove(&replica.entry.service);
         }
-        self.favourites = favourites;
     }
 
     /// Takes in the requests that another node has in flight.
@@ -118,93 +137,18 @@
     }
 
     /// Upstreams that this node has ejected by what it saw, and for how much longer.
-    pub fn ejected(&self, now: Millis) -> Vec<(Tag, Millis)> {
-        let ejected = self.replicas.iter().filter(|(_, replica)| replica.ejected_until > now);
-        ejected.map(|(id, replica)| (Tag::of(id), replica.ejected_until - now)).collect()
+    pub fn ejected(&mut self, now: Millis) -> Vec<(Tag, Millis)> {
+        let replicas = &self.replicas;
+        self.ejected.retain(|upstream| {
+            replicas.get(upstream).is_some_and(|replica| replica.ejected_until > now)
+        });
+        let left = |upstream: &Upstream| replicas[upstream].ejected_until - now;
+        self.ejected.iter().map(|upstream| (Tag::of(upstream), left(upstream))).collect()
     }
 
     /// The requests that this node has in flight.
-    pub fn own(&self) -> Loads {
-        let busy = self.replicas.iter().filter(|(_, replica)| replica.own.total() > 0);
-        busy.map(|(upstream, replica)| (Tag::of(upstream), replica.own)).collect()
-    }
-
-    /// Chooses an upstream and counts the request as in flight there.
-    pub fn choose(&mut self, now: Millis, want: Want<'_>) -> Result<Pick, Refusal> {
-        self.expire(now);
-        let usable = self.usable(now, want);
-        if usable.is_empty() {
-            return Err(Refusal::NoUpstream { retry_after: self.retry_after() });
-        }
-        let sample = self.sample(&usable);
-        let best = match self.best(now, want.class, &sample) {
-            None if sample.len() < usable.len() => self.best(now, want.class, &usable),
-            best => best,
-        };
-        let Some(upstream) = best else {
-            let retry_after = self.retry_after();
-            let (load, slots) = self.occupancy(now, want.service);
-            return Err(Refusal::Full { in_flight: load.total(), slots, retry_after });
-        };
-        Ok(self.start(upstream, want.class))
-    }
-
-    /// Upstreams that may get the request.
-    fn usable(&self, now: Millis, want: Want<'_>) -> Vec<Upstream> {
-        let candidate = |upstream: &Upstream, replica: &Replica| {
-            replica.entry.service == *want.service
-                && !replica.entry.draining
-                && !want.avoid.contains(upstream)
-        };
-        let (ejected, healthy): (Vec<_>, Vec<_>) = self
-            .replicas
-            .iter()
-            .filter(|(upstream, replica)| candidate(upstream, replica))
-            .partition(|(_, replica)| replica.is_ejected(now, &self.settings));
-        // Where most seem to fail, the cause is elsewhere, and the rest can't take all requests.
-        let all = healthy.len() < ejected.len();
-        let ejected = ejected.into_iter().filter(|_| all);
-        healthy.into_iter().chain(ejected).map(|(upstream, _)| upstream.clone()).collect()
-    }
-
-    /// The favourites of many upstreams and a few drawn at random: nodes with the same news then
-    /// don't all choose the same one.
-    fn sample(&mut self, usable: &[Upstream]) -> Vec<Upstream> {
-        if usable.len() <= SAMPLE_FROM {
-            return usable.to_vec();
-        }
-        let (mut sample, others): (Vec<Upstream>, Vec<Upstream>) =
-            usable.iter().cloned().partition(|upstream| self.favourites.contains(upstream));
-        let count = (SAMPLE_FROM - FAVOURITES).min(others.len());
-        let drawn = index::sample(&mut self.rng, others.len(), count);
-        sample.extend(drawn.into_iter().map(|position| others[position].clone()));
-        sample
-    }
-
-    /// The least loaded of `upstreams` that has room.
-    fn best(&mut self, now: Millis, class: Class, upstreams: &[Upstream]) -> Option<Upstream> {
-        let mut best: Option<(f64, &Upstream)> = None;
-        for upstream in upstreams {
-            let replica = &self.replicas[upstream];
-            if !replica.has_room(now, class, &self.settings) {
-                continue;
-            }
-            let distance = match replica.entry.data_centre == self.home {
-                true => 0.0,
-                false => self.settings.data_centre_bias,
-            };
-            let favour = match self.favourites.is_empty() || self.favourites.contains(upstream) {
-                true => 0.0,
-                false => self.settings.favour_bias,
-            };
-            // The fraction breaks ties at random, so that nodes with the same news spread out.
-            let tie = self.rng.random::<f64>() * 0.5;
-            let score = f64::from(replica.load().total()) + distance + favour + tie;
-            if best.is_none_or(|(lowest, _)| score < lowest) {
-                best = Some((score, upstream));
-            }
-        }
-        best.map(|(_, upstream)| upstream.clone())
+    pub fn own(&self) -> &Loads {
+        &self.busy
     }
 
     /// A request has ended.
@@ -214,25 +158,34 @@
             Class::Online => replica.own.online = replica.own.online.saturating_sub(1),
             Class::Batch => replica.own.batch = replica.own.batch.saturating_sub(1),
         }
+        let own = replica.own;
         match outcome {
-            Outcome::Succeeded => {
-                replica.succeeded();
-            }
+            Outcome::Succeeded => replica.succeeded(),
             Outcome::Neutral => {}
             Outcome::Full => replica.full_until = now + Millis(self.settings.full_ms),
-            Outcome::Failed => replica.failed(now, &self.settings),
+            Outcome::Failed => {
+                replica.failed(now, &self.settings);
+                self.ejected.insert(pick.upstream.clone());
+            }
         }
+        self.count_own(&pick.upstream, own);
+    }
+
+    pub(super) fn count_own(&mut self, upstream: &Upstream, own: Load) {
+        let tag = Tag::of(upstream);
+        match own.total() {
+            0 => self.busy.remove(&tag),
+            _ => self.busy.insert(tag, own),
+        };
     }
 
     /// Requests in flight at the open upstreams of `service` and the slots of these.
     pub fn occupancy(&self, now: Millis, service: &Service) -> (Load, u32) {
         let mut sum = Load::default();
         let mut slots = 0;
-        for replica in self.replicas.values() {
-            if replica.entry.service != *service || replica.entry.draining {
-                continue;
-            }
-            if replica.is_ejected(now, &self.settings) {
+        let members = self.services.get(service).into_iter().flat_map(|members| &members.upstreams);
+        for replica in members.map(|upstream| &self.replicas[upstream]) {
+            if replica.entry.draining || replica.is_ejected(now, &self.settings) {
                 continue;
             }
             let load = replica.load();
@@ -246,7 +199,8 @@
     /// the slots, so that nodes with the same news don't all pause theirs.
     pub fn overfull(&mut self) -> BTreeMap<Upstream, u32> {
         let mut overfull = BTreeMap::new();
-        for (upstream, replica) in &self.replicas {
+        for upstream in self.busy.keys().filter_map(|tag| self.tags.get(tag)) {
+            let Some(replica) = self.replicas.get(upstream) else { continue };
             let load = replica.load();
             let excess = load.total().saturating_sub(replica.entry.slots).min(load.batch);
             if excess == 0 || replica.own.batch == 0 {
@@ -271,7 +225,7 @@
     }
 
     /// Forgets what nodes told too long ago.
-    fn expire(&mut self, now: Millis) {
+    pub(super) fn expire(&mut self, now: Millis) {
         if now < self.next_expiry {
             return;
         }
@@ -300,18 +254,6 @@
         }
     }
 
-    fn start(&mut self, upstream: Upstream, class: Class) -> Pick {
-        let load = self.replicas[&upstream].load().total();
-        let address = self.replicas[&upstream].entry.address;
-        if let Some(replica) = self.replicas.get_mut(&upstream) {
-            match class {
-                Class::Online => replica.own.online += 1,
-                Class::Batch => replica.own.batch += 1,
-            }
-        }
-        Pick { upstream, address, class, load }
-    }
-
     /// When a refused caller may come back; spread, so that not all come at once.
     pub fn retry_after(&mut self) -> Millis {
         let spread = self.rng.random_range(0..=self.settings.retry_spread_ms);
--- a/serving/src/fleet.rs
+++ b/serving/src/fleet.rs
@@ -35,9 +35,23 @@
     /// The upstream started anew under its id and holds nothing of before.
     Restarted(Upstream),
     Draining(Upstream),
+    /// Something else in its entry changed.
+    Updated(Upstream),
     Gone(Upstream),
 }
 
+impl Change {
+    pub fn upstream(&self) -> &Upstream {
+        match self {
+            Change::Added(upstream)
+            | Change::Restarted(upstream)
+            | Change::Draining(upstream)
+            | Change::Updated(upstream)
+            | Change::Gone(upstream) => upstream,
+        }
+    }
+}
+
 /// The upstreams that a node knows.
 #[derive(Clone, Debug, Default)]
 pub struct State {
@@ -72,6 +86,7 @@
                 Some(Change::Restarted(upstream))
             }
             Some(before) if entry.draining && !before.draining => Some(Change::Draining(upstream)),
+            Some(before) if entry != before => Some(Change::Updated(upstream)),
             Some(_) => None,
         }
     }
--- a/serving/src/node.rs
+++ b/serving/src/node.rs
@@ -23,6 +23,9 @@
 /// How long a request that crashed upstreams is remembered.
 const QUARANTINE_KEEP: Millis = Millis(60_000);
 
+/// Lines on changes of the fleet that came at once, as at the start before many upstreams.
+const CHANGE_LINES: usize = 32;
+
 /// What a node is given at its start.
 pub struct Identity {
     pub vm: Vm,
@@ -98,15 +101,17 @@
         self.apply(&changes);
     }
 
-    /// An upstream's entry was written, or removed when there is none.
-    pub fn put_upstream(&self, upstream: Upstream, entry: Option<fleet::Entry>) {
+    /// Entries of upstreams were written in this order, or removed where there is none.
+    pub fn update_fleet(&self, entries: Vec<(Upstream, Option<fleet::Entry>)>) {
+        let now = self.exchange.clock.now();
         let mut fleet = lock(&self.fleet);
-        let change = match entry {
+        let change = |(upstream, entry)| match entry {
             Some(entry) => fleet.put(upstream, entry),
-            None => fleet.remove(self.exchange.clock.now(), &upstream),
+            None => fleet.remove(now, &upstream),
         };
+        let changes: Vec<Change> = entries.into_iter().filter_map(change).collect();
         drop(fleet);
-        self.apply(change.as_slice());
+        self.apply(&changes);
     }
 
     /// Work that is due from time to time.
@@ -136,15 +141,27 @@
             return;
         }
         let fleet = lock(&self.fleet);
-        self.exchange.balance().update(fleet.entries());
+        let mut balance = self.exchange.balance();
+        for change in changes {
+            match fleet.entries().get(change.upstream()) {
+                Some(entry) => balance.put(change.upstream(), entry),
+                None => balance.remove(change.upstream()),
+            }
+        }
         let known = fleet.entries().len();
+        drop(balance);
         drop(fleet);
         for change in changes {
             if let Change::Restarted(upstream) | Change::Gone(upstream) = change {
                 self.exchange.pool.forget(upstream);
             }
+        }
+        for change in changes.iter().take(CHANGE_LINES) {
             log::info!(change:? = change, known = known; "fleet changed");
         }
+        if let Some(more) = changes.len().checked_sub(CHANGE_LINES).filter(|more| *more > 0) {
+            log::info!(more = more, known = known; "fleet changed in more places");
+        }
     }
 }
 
--- a/serving/src/peers/task.rs
+++ b/serving/src/peers/task.rs
@@ -1,6 +1,9 @@
 //! Sends and receives the datagrams between nodes.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
 
 use tokio::{net::UdpSocket, time::sleep};
 
@@ -12,7 +15,7 @@
     time::Millis,
 };
 
-use super::{Message, State};
+use super::{Message, Round, State};
 
 /// The largest datagram that is read.
 const DATAGRAM_BYTES: usize = 16 << 10;
@@ -28,7 +31,7 @@
 pub struct Sources {
     pub vm: Vm,
     pub incarnation: Incarnation,
-    pub address: std::net::SocketAddr,
+    pub address: SocketAddr,
     pub state: Mutex<State>,
     pub context: Arc<Context>,
     pub group: Arc<Group>,
@@ -39,7 +42,7 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn message(&self, sequence: u64, told: Told, now: Millis) -> Message {
+    fn message(&self, sequence: u64, told: Told, peers: Vec<SocketAddr>, now: Millis) -> Message {
         let (loads, owned) = told;
         Message {
             vm: self.vm.clone(),
@@ -49,7 +52,7 @@
             loads,
             ejected: self.context.balance().ejected(now),
             owned,
-            peers: self.state().introductions(now),
+            peers,
             suspects: self.context.quarantine().worst(now, SUSPECTS),
             leaving: false,
         }
@@ -78,7 +81,7 @@
     loop {
         sleep(LOOK.duration()).await;
         let now = sources.context.clock.now();
-        let news = (sources.context.balance().own(), sources.group.reports());
+        let news = (sources.context.balance().own().clone(), sources.group.reports());
         if now < sources.state().due(news != told) {
             continue;
         }
@@ -87,11 +90,13 @@
         }
         sequence += 1;
         told = news.clone();
-        send(&sources, &socket, sources.message(sequence, news, now)).await;
+        let Round { recipients, introductions } = sources.state().send(now, !news.1.is_empty());
+        let message = sources.message(sequence, news, introductions, now);
+        send(&socket, &message, recipients).await;
     }
 }
 
-async fn send(sources: &Sources, socket: &UdpSocket, message: Message) {
+async fn send(socket: &UdpSocket, message: &Message, recipients: Vec<SocketAddr>) {
     let bytes = match message.encode() {
         Ok(bytes) => bytes,
         Err(error) => {
@@ -99,8 +104,7 @@
             return;
         }
     };
-    let addresses: Vec<_> = sources.state().addresses().collect();
-    for address in addresses {
+    for address in recipients {
         if let Err(error) = socket.send_to(&bytes, address).await {
             log::debug!(peer:% = address, error:% = error; "message to a peer not sent");
         }
--- a/serving/tests/fleet.rs
+++ b/serving/tests/fleet.rs
@@ -83,3 +83,15 @@
     let changes = state.replace(Millis(0), seen);
     assert_eq!(changes, vec![Change::Gone(id()), Change::Added(other)]);
 }
+
+/// Decisions see an upstream that is ready again, or has other slots, by its own change.
+#[test]
+fn each_change_of_an_entry_is_told() {
+    let mut state = State::default();
+    state.put(id(), entry(1, false));
+    assert_eq!(state.put(id(), entry(1, true)), Some(Change::Draining(id())));
+    assert_eq!(state.put(id(), entry(1, false)), Some(Change::Updated(id())));
+    assert_eq!(state.put(id(), entry(1, false)), None);
+    let smaller = Entry { slots: 4, ..entry(1, false) };
+    assert_eq!(state.put(id(), smaller), Some(Change::Updated(id())));
+}
--- a/standins/src/emulator/fleet.rs
+++ b/standins/src/emulator/fleet.rs
@@ -266,7 +266,7 @@
     fn run_owners(&mut self, now: u64) {
         for owner in 0..self.owners.len() {
             // Owners don't look at the same time.
-            if (now + 3 * owner as u64) % self.scenario.batching.schedule_ms == 0 {
+            if (now + 3 * owner as u64).is_multiple_of(self.scenario.batching.schedule_ms) {
                 self.make_room(now, owner);
                 self.schedule(now, owner);
             }
@@ -320,10 +320,10 @@
         let (interval, loss, fan_out) = (news.interval_ms, news.loss, news.fan_out);
         let count = self.nodes.len();
         for from in 0..count {
-            if (now + 5 * from as u64) % interval != 0 {
+            if !(now + 5 * from as u64).is_multiple_of(interval) {
                 continue;
             }
-            let loads = self.nodes[from].balance.own();
+            let loads = self.nodes[from].balance.own().clone();
             let reports: Vec<(u16, Report)> =
                 self.nodes[from].reports.iter().map(|(n, report)| (*n, report.clone())).collect();
             let others = count - 1;
