fix(batch): reads of partitions by nodes that don't own them are bounded

Change: a node begins such a read only when none is in progress and it has rested ten times as long as the last one took, longer after failures; callers get 503 with Retry-After meanwhile.

Ruled out: a full log (no append got 507), a fault of the claim itself (it only never got its pages).

--- a/serving/src/batch/group.rs
+++ b/serving/src/batch/group.rs
@@ -1,6 +1,9 @@
 //! Shares the partitions of the jobs among the nodes.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
 
 use tokio::time::{sleep, timeout};
 
@@ -9,12 +12,14 @@
     exchange::Context,
     id::Job,
     log_store::{self, Partition},
-    time::Millis,
+    time::{Clock, Millis},
     upstream::Pool,
 };
 
 use super::{
-    Settings, coordinator,
+    Settings,
+    budget::Budget,
+    coordinator,
     directory::{Directory, Owned, Place, partition},
     ledger::Ledger,
     owner::{self, Page, Tools, Unavailable, Verified},
@@ -37,6 +42,36 @@
     tools: Tools,
     directory: Arc<Directory>,
     member: String,
+    /// Of reads of partitions that this node doesn't own.
+    budget: Mutex<Budget>,
+}
+
+/// A read within the budget. One that is dropped, as when its caller leaves, counts as failed.
+struct Reading<'a> {
+    budget: &'a Mutex<Budget>,
+    clock: &'a Clock,
+    succeeded: bool,
+}
+
+impl<'a> Reading<'a> {
+    fn begin(budget: &'a Mutex<Budget>, clock: &'a Clock) -> Option<Reading<'a>> {
+        let may_begin = lock(budget).begin(clock.now());
+        may_begin.then_some(Reading { budget, clock, succeeded: false })
+    }
+
+    fn end(mut self, succeeded: bool) {
+        self.succeeded = succeeded;
+    }
+}
+
+impl Drop for Reading<'_> {
+    fn drop(&mut self) {
+        lock(self.budget).end(self.clock.now(), self.succeeded);
+    }
+}
+
+fn lock(budget: &Mutex<Budget>) -> MutexGuard<'_, Budget> {
+    budget.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl Group {
@@ -53,7 +88,8 @@
         let directory = Arc::new(Directory::new(settings.partitions));
         let coordinator = coordinator::Client { directory: Arc::clone(&directory), peers };
         let tools = Tools { context, catalog, store, settings, coordinator };
-        Group { tools, directory, member: format!("{address}/{incarnation:x}") }
+        let member = format!("{address}/{incarnation:x}");
+        Group { tools, directory, member, budget: Mutex::default() }
     }
 
     /// Where the job with this id is.
@@ -162,12 +198,18 @@
         true
     }
 
-    /// Results of a job from the log itself, for a node that can't reach the job's owner.
-    /// `Ok(None)` means that there is no such job.
+    /// Results of a job from the log itself, for a node that can't reach the job's owner, as far
+    /// as the budget of such reads goes. `Ok(None)` means that there is no such job.
     pub async fn read_log(&self, job: &Job, after: usize) -> Result<Option<Page>, Unavailable> {
+        let Some(reading) = Reading::begin(&self.budget, &self.tools.context.clock) else {
+            log::debug!(job = job.0.as_str(); "job not read from the log: too many such reads");
+            return Err(Unavailable::NotAccepted);
+        };
         let number = partition(&job.0, self.tools.settings.partitions);
         let place = Partition { topic: TOPIC.to_string(), number };
-        let newest = self.tools.store.newest(&place).await.map_err(|error| {
+        let newest = self.tools.store.newest(&place).await;
+        reading.end(newest.is_ok());
+        let newest = newest.map_err(|error| {
             log::warn!(job = job.0.as_str(), error:% = error; "job can't be read from the log");
             Unavailable::NotAccepted
         })?;
--- a/serving/src/batch/mod.rs
+++ b/serving/src/batch/mod.rs
@@ -7,9 +7,11 @@
 //! * `owner` writes one partition: the group deals partitions, an epoch fences the writer.
 //! * `run` runs one item at an upstream.
 //! * `quota` counts the tokens that wait over all partitions; `coordinator` asks for room.
+//! * `budget` limits reads of partitions that a node doesn't own.
 //! * `directory` tells who owns which partition.
 //! * `group` joins the group and starts and ends the owners.
 
+pub mod budget;
 mod coordinator;
 mod directory;
 mod group;
--- a/serving/tests/jobs.rs
+++ b/serving/tests/jobs.rs
@@ -367,7 +367,10 @@
     assert_eq!(handle.submit(job("a"), head(3)).await, Ok(Accepted::Durable));
     let page = other.group.read_log(&job("a"), 0).await.unwrap().unwrap();
     assert_eq!((page.total, page.next), (3, 0));
+    let rested = || async { tokio::time::sleep(Duration::from_millis(400)).await };
+    rested().await;
     assert_eq!(other.group.read_log(&job("none"), 0).await, Ok(None));
     other.log.set_fault(Fault::Down);
+    rested().await;
     assert_eq!(other.group.read_log(&job("a"), 0).await, Err(Unavailable::NotAccepted));
 }
