feat(balance): online requests are admitted by their expected wait, loads weighted by pace

Pattern: bursts of long streams before upstreams of unlike speed. Two requests beyond the slots were let in everywhere: 100 ms each at a usual engine, 360 ms at one that is 3.6 times slower, of a latency objective of 300; lookups of 30 ms were refused although they would have waited 10.

Change: each node learns how long online requests take at each upstream and in the service. The load of an upstream counts by its pace, and a request is let in where the expected wait is at most 0.3 of its objective. Constructors of failures stand once; two functions that only tests called are gone.

--- a/serving/src/balance/choice.rs
+++ b/serving/src/balance/choice.rs
@@ -35,8 +35,8 @@
             let sample: Vec<&Upstream> = sample.iter().collect();
             let usable = usable(&self.replicas, now, want, &sample, &self.settings);
             let ties = self.ties(usable.len());
-            if let Some(upstream) = self.best(now, want.class, &favourites, &usable, &ties) {
-                return Ok(self.start(upstream, want.class));
+            if let Some(upstream) = self.best(now, want, &favourites, &usable, &ties) {
+                return Ok(self.start(now, upstream, want.class));
             }
         }
         let ties = self.ties(known);
@@ -49,12 +49,12 @@
         if usable.is_empty() {
             return Err(Refusal::NoUpstream { retry_after: self.retry_after() });
         }
-        let Some(upstream) = self.best(now, want.class, &favourites, &usable, &ties) else {
+        let Some(upstream) = self.best(now, want, &favourites, &usable, &ties) else {
             let retry_after = self.retry_after();
             let (load, slots) = self.occupancy(now, want.service);
             return Err(Refusal::Full { in_flight: load.total(), slots, retry_after });
         };
-        Ok(self.start(upstream, want.class))
+        Ok(self.start(now, upstream, want.class))
     }
 
     /// The favourites of many upstreams and a few drawn at random: nodes with the same news then
@@ -79,15 +79,16 @@
     fn best(
         &self,
         now: Millis,
-        class: Class,
+        want: Want<'_>,
         favourites: &BTreeSet<Upstream>,
         upstreams: &[&Upstream],
         ties: &[f64],
     ) -> Option<Upstream> {
+        let usual = self.services.get(want.service).map(|members| members.span).unwrap_or_default();
         let mut best: Option<(f64, &Upstream)> = None;
         for (upstream, tie) in upstreams.iter().zip(ties) {
             let replica = &self.replicas[*upstream];
-            if !replica.has_room(now, class, &self.settings) {
+            if !replica.has_room(now, want, usual, &self.settings) {
                 continue;
             }
             let distance = match replica.entry.data_centre == self.home {
@@ -98,7 +99,8 @@
                 true => 0.0,
                 false => self.settings.favour_bias,
             };
-            let score = f64::from(replica.load().total()) + distance + favour + tie;
+            let load = f64::from(replica.load().total() + 1) * replica.pace(usual);
+            let score = load + distance + favour + tie;
             if best.is_none_or(|(lowest, _)| score < lowest) {
                 best = Some((score, upstream));
             }
@@ -124,7 +126,7 @@
         drawn.clone()
     }
 
-    fn start(&mut self, upstream: Upstream, class: Class) -> Pick {
+    fn start(&mut self, now: Millis, upstream: Upstream, class: Class) -> Pick {
         let load = self.replicas[&upstream].load().total();
         let address = self.replicas[&upstream].entry.address;
         if let Some(replica) = self.replicas.get_mut(&upstream) {
@@ -135,7 +137,7 @@
         }
         let own = self.replicas[&upstream].own;
         self.count_own(&upstream, own);
-        Pick { upstream, address, class, load }
+        Pick { upstream, address, class, load, since: now }
     }
 }
 
--- a/serving/src/balance/request.rs
+++ b/serving/src/balance/request.rs
@@ -21,6 +21,8 @@
     pub class: Class,
     /// Upstreams that have failed or refused the request already.
     pub avoid: &'a BTreeSet<Upstream>,
+    /// The time within which an online request is to be answered.
+    pub objective: Millis,
 }
 
 /// The upstream that was chosen. The request counts as in flight there until `State::end`.
@@ -31,6 +33,8 @@
     pub class: Class,
     /// Requests in flight there when it was chosen, this one excluded.
     pub load: u32,
+    /// When it was chosen.
+    pub since: Millis,
 }
 
 /// Why no upstream was chosen.
--- a/serving/src/balance/settings.rs
+++ b/serving/src/balance/settings.rs
@@ -12,8 +12,16 @@
     /// Requests in flight that an upstream must be ahead by which this node doesn't favour. Nodes
     /// before a large service favour a few upstreams each, to which they keep connections.
     pub favour_bias: f64,
-    /// Online requests that may wait at an upstream beyond its slots.
+    /// Online requests that may wait at an upstream beyond its slots, however short they are.
     pub queue_per_upstream: u32,
+    /// The same while it isn't known how long requests take there.
+    pub queue_unknown: u32,
+    /// Share of its latency objective that an online request may be expected to wait at an
+    /// upstream; the rest is left for the links and the first event.
+    pub wait_share: f64,
+    /// Milliseconds that a batch item takes to make room: news of the load, a look, the end of its
+    /// run.
+    pub pause_ms: f64,
     /// Share of a service's slots that batch items leave free for online requests.
     pub online_reserve: f64,
     /// Milliseconds for which an upstream that refused a request counts as full.
@@ -37,7 +45,10 @@
         Settings {
             data_centre_bias: 2.0,
             favour_bias: 1.0,
-            queue_per_upstream: 2,
+            queue_per_upstream: 12,
+            queue_unknown: 2,
+            wait_share: 0.3,
+            pause_ms: 60.0,
             online_reserve: 0.08,
             full_ms: 60,
             eject_ms: 250,
--- a/serving/src/balance/state.rs
+++ b/serving/src/balance/state.rs
@@ -18,7 +18,7 @@
 use super::{
     Settings,
     load::{Load, Loads, Tag},
-    replica::Replica,
+    replica::{Replica, Span},
     request::{Class, Outcome, Pick},
 };
 
@@ -49,6 +49,7 @@
     pub(super) upstreams: Vec<Upstream>,
     /// Those to which this node keeps connections, where there are many. `None` after a change.
     pub(super) favourites: Option<BTreeSet<Upstream>>,
+    pub(super) span: Span,
 }
 
 impl State {
@@ -159,6 +160,12 @@
             Class::Batch => replica.own.batch = replica.own.batch.saturating_sub(1),
         }
         let own = replica.own;
+        if outcome == Outcome::Succeeded && pick.class == Class::Online {
+            let ran = replica.answered(pick.load, (now - pick.since).0 as f64);
+            if let Some(members) = self.services.get_mut(&replica.entry.service) {
+                members.span.observe(ran);
+            }
+        }
         match outcome {
             Outcome::Succeeded => replica.succeeded(),
             Outcome::Neutral => {}
--- a/serving/src/batch/order.rs
+++ b/serving/src/batch/order.rs
@@ -42,11 +42,6 @@
         }
     }
 
-    /// The events that a run makes within `span`.
-    pub fn events_within(&self, span: Millis) -> u64 {
-        (span.0 as f64 / self.event_ms.max(1.0)) as u64
-    }
-
     /// The time that an item with `events` behind it still needs.
     pub fn left(&self, events: u64) -> Millis {
         Millis(((self.events - events as f64).max(1.0) * self.event_ms) as u64)
@@ -62,9 +57,6 @@
 }
 
 impl Urgency {
-    /// Of an item that nobody waits for any more.
-    pub const LEAST: Urgency = Urgency { late: true, due: u64::MAX };
-
     pub fn new(wall: u64, due: u64, left: Millis) -> Urgency {
         Urgency { late: wall + left.0 > due + SLACK, due }
     }
--- a/serving/src/batch/owner/items.rs
+++ b/serving/src/batch/owner/items.rs
@@ -27,32 +27,25 @@
 /// An item that is running.
 pub(super) struct Running {
     upstream: Upstream,
-    /// Events that earlier runs had left.
-    events: u64,
-    since: Millis,
     pub(super) pause: Option<oneshot::Sender<()>>,
 }
 
 impl Owner {
     /// Items that may run now, in order.
     fn waiting(&self) -> Vec<Waiting> {
-        let now = self.tools.context.clock.now();
+        let clock = &self.tools.context.clock;
+        let (now, wall) = (clock.now(), clock.wall().0);
         let entry = |item: &ItemId| {
+            let job = self.ledger.job(&item.job)?;
+            let due = job.head.accepted + self.route(&job.head)?.results_due.0;
             let left = self.forecast.left(self.ledger.events(item));
-            Some(Waiting { urgency: self.urgency(item, left)?, left, item: item.clone() })
+            Some(Waiting { urgency: Urgency::new(wall, due, left), left, item: item.clone() })
         };
         let mut waiting: Vec<Waiting> = self.ledger.runnable(now).filter_map(entry).collect();
         waiting.sort();
         waiting
     }
 
-    /// The urgency of an item that still needs so long.
-    fn urgency(&self, item: &ItemId, left: Millis) -> Option<Urgency> {
-        let job = self.ledger.job(&item.job)?;
-        let due = job.head.accepted + self.route(&job.head)?.results_due.0;
-        Some(Urgency::new(self.tools.context.clock.wall().0, due, left))
-    }
-
     /// Starts the items that are the most urgent ones over all owners, as far as there is room,
     /// and tells the node which ones still wait.
     pub(super) fn schedule(&mut self) {
@@ -100,17 +93,12 @@
             }
         };
         let context = &self.tools.context;
-        let Ok(lease) = context.choose(service, Class::Batch, &BTreeSet::new()) else {
+        let Ok(lease) = context.choose(service, Class::Batch, &BTreeSet::new(), Millis(0)) else {
             return false;
         };
         let (pause, paused) = oneshot::channel();
-        let running = Running {
-            upstream: lease.pick.upstream.clone(),
-            events: self.ledger.events(&item),
-            since: context.clock.now(),
-            pause: Some(pause),
-        };
-        self.running.insert(item.clone(), running);
+        let upstream = lease.pick.upstream.clone();
+        self.running.insert(item.clone(), Running { upstream, pause: Some(pause) });
         let run = Run {
             context: Arc::clone(context),
             progress: self.ledger.start(&item),
@@ -137,11 +125,10 @@
         if overfull.is_empty() {
             return;
         }
-        let now = self.tools.context.clock.now();
-        let candidate = |(item, running): (&ItemId, &Running)| {
-            let events = running.events + self.forecast.events_within(now - running.since);
-            let urgency = self.urgency(item, self.forecast.left(events)).unwrap_or(Urgency::LEAST);
-            schedule::Running { item: item.clone(), upstream: running.upstream.clone(), urgency }
+        let candidate = |(item, running): (&ItemId, &Running)| schedule::Running {
+            item: item.clone(),
+            upstream: running.upstream.clone(),
+            due: self.ledger.due(item),
         };
         let running = self.running.iter().filter(|(_, running)| running.pause.is_some());
         for item in schedule::pauses(running.map(candidate).collect(), overfull) {
--- a/serving/src/batch/run.rs
+++ b/serving/src/batch/run.rs
@@ -114,27 +114,30 @@
             self.lease.pick.address,
             true,
         );
-        let answer = tokio::time::timeout(silence, sending).await.map_err(|_| silent())??;
+        let answer =
+            tokio::time::timeout(silence, sending).await.map_err(|_| Failure::silent())??;
         match answer.parts.status {
             StatusCode::OK => {}
             StatusCode::INTERNAL_SERVER_ERROR => return Ok(RunEnd::Failed),
             StatusCode::UNPROCESSABLE_ENTITY => return Ok(RunEnd::Impossible),
-            status => return Err(broken(format!("the upstream answered {status}"))),
+            status => return Err(Failure::broken(format!("the upstream answered {status}"))),
         }
         let mut body = answer.body;
         let mut splitter = Splitter::default();
         let mut saved = self.progress.events;
         loop {
-            let next = tokio::time::timeout(silence, body.next()).await.map_err(|_| silent())??;
+            let next = tokio::time::timeout(silence, body.next())
+                .await
+                .map_err(|_| Failure::silent())??;
             let Some(bytes) = next else {
                 return match splitter.is_partial() {
-                    true => Err(broken("the stream ended within an event".to_string())),
+                    true => Err(Failure::broken("the stream ended within an event".to_string())),
                     false => Ok(RunEnd::Complete),
                 };
             };
             splitter.push(&bytes);
             for event in splitter.by_ref() {
-                self.progress.take(&event).map_err(broken)?;
+                self.progress.take(&event).map_err(Failure::broken)?;
             }
             if self.progress.events >= saved + self.settings.save_events {
                 saved = self.progress.events;
@@ -167,12 +170,3 @@
         Ok(())
     }
 }
-
-fn silent() -> Failure {
-    let message = "the upstream has been silent for too long".to_string();
-    Failure { kind: FailureKind::Silent, reached: crate::upstream::Reached::Sent, message }
-}
-
-fn broken(message: String) -> Failure {
-    Failure { kind: FailureKind::Broken, reached: crate::upstream::Reached::Sent, message }
-}
--- a/serving/src/batch/schedule.rs
+++ b/serving/src/batch/schedule.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::id::Upstream;
+use crate::{id::Upstream, time::Millis};
 
 use super::{
     ledger::ItemId,
@@ -21,12 +21,13 @@
 pub struct Running {
     pub item: ItemId,
     pub upstream: Upstream,
-    pub urgency: Urgency,
+    pub due: Millis,
 }
 
-/// The items that make room where upstreams are overfull by so many: the least urgent ones.
+/// The items that make room where upstreams are overfull by so many: those that are due last. An
+/// item that is late already goes on, as it is the nearest to its end.
 pub fn pauses(mut running: Vec<Running>, mut overfull: BTreeMap<Upstream, u32>) -> Vec<ItemId> {
-    running.sort_by(|a, b| (b.urgency, &b.item).cmp(&(a.urgency, &a.item)));
+    running.sort_by(|a, b| (b.due, &b.item).cmp(&(a.due, &a.item)));
     let mut pauses = Vec::new();
     for Running { item, upstream, .. } in running {
         if let Some(excess) = overfull.get_mut(&upstream).filter(|excess| **excess > 0) {
--- a/serving/src/catalog.rs
+++ b/serving/src/catalog.rs
@@ -80,11 +80,6 @@
         }
         &self.split[self.split.len() - 1].service
     }
-
-    /// Whether some requests of the route may go to `service`.
-    pub fn allows(&self, service: &Service) -> bool {
-        self.split.iter().any(|share| share.weight > 0 && share.service == *service)
-    }
 }
 
 /// What callers may send and how long they may take.
--- a/serving/src/exchange/relay.rs
+++ b/serving/src/exchange/relay.rs
@@ -15,7 +15,7 @@
     Context, Job,
     events::Event,
     state::{self, Next, State},
-    task::{Given, Lease, Source, attempt, finish, report_death, silent},
+    task::{Given, Lease, Source, attempt, finish, report_death},
     trace::Trace,
 };
 
@@ -88,7 +88,7 @@
                 Err(failure) => Step::Failed(failure),
             },
             () = self.sender.closed() => Step::CallerLeft,
-            () = tokio::time::sleep((silent_until - now).duration()) => Step::Failed(silent()),
+            () = tokio::time::sleep((silent_until - now).duration()) => Step::Failed(Failure::silent()),
         }
     }
 
@@ -114,7 +114,9 @@
                 self.trace.end("cut", &format!("{end:?}"));
                 return false;
             }
-            let chosen = self.context.choose(&self.job.service, Class::Online, &self.state.avoid);
+            let objective = self.job.route.latency_objective;
+            let chosen =
+                self.context.choose(&self.job.service, Class::Online, &self.state.avoid, objective);
             let lease = match chosen {
                 Ok(lease) => lease,
                 Err(refusal) => {
@@ -138,7 +140,12 @@
                     self.source = source;
                     return true;
                 }
-                Ok(Given::Whole { parts, .. }) => failure = refused_resume(parts.status),
+                Ok(Given::Whole { parts, .. }) => {
+                    let status = parts.status;
+                    failure = Failure::broken(format!(
+                        "the upstream answered {status} instead of resuming"
+                    ));
+                }
                 Err(next_failure) => failure = next_failure,
             }
         }
@@ -152,11 +159,3 @@
         self.pass(Err(Broken)).await;
     }
 }
-
-fn refused_resume(status: http::StatusCode) -> Failure {
-    Failure {
-        kind: crate::upstream::FailureKind::Broken,
-        reached: crate::upstream::Reached::Sent,
-        message: format!("the upstream answered {status} instead of resuming"),
-    }
-}
--- a/serving/src/exchange/state.rs
+++ b/serving/src/exchange/state.rs
@@ -83,10 +83,6 @@
         self.end
     }
 
-    pub fn attempts_left(&self) -> u32 {
-        self.attempts
-    }
-
     pub fn is_repeatable(&self) -> bool {
         self.kind.is_repeatable()
     }
--- a/serving/src/exchange/task.rs
+++ b/serving/src/exchange/task.rs
@@ -15,7 +15,7 @@
     metrics::Metrics,
     quarantine::{Fingerprint, Quarantine, Verdict},
     time::{Clock, Millis},
-    upstream::{self, Body, Codec, Failure, FailureKind, Pool, Reached, Request},
+    upstream::{self, Body, Codec, Failure, Pool, Request},
 };
 
 use super::{
@@ -91,9 +91,10 @@
         service: &Service,
         class: Class,
         avoid: &BTreeSet<crate::id::Upstream>,
+        objective: Millis,
     ) -> Result<Lease, Refusal> {
         let now = self.clock.now();
-        let pick = self.balance().choose(now, Want { service, class, avoid })?;
+        let pick = self.balance().choose(now, Want { service, class, avoid, objective })?;
         Ok(Lease { context: Arc::clone(self), pick, outcome: Outcome::Neutral })
     }
 }
@@ -138,7 +139,12 @@
     }
     let mut state = new_state(&job);
     loop {
-        let lease = match context.choose(&job.service, Class::Online, &state.avoid) {
+        let lease = match context.choose(
+            &job.service,
+            Class::Online,
+            &state.avoid,
+            job.route.latency_objective,
+        ) {
             Ok(lease) => lease,
             Err(refusal) => {
                 trace.refused(refusal);
@@ -264,7 +270,7 @@
         Ok(result) => result,
         Err(_) => {
             state.runs();
-            Err(silent())
+            Err(Failure::silent())
         }
     }
 }
@@ -280,12 +286,12 @@
                 return Ok(Some(event));
             }
             if self.splitter.is_overlong() {
-                return Err(broken("an event is too long"));
+                return Err(Failure::broken("an event is too long"));
             }
             match self.body.next().await? {
                 Some(bytes) => self.splitter.push(&bytes),
                 None if self.splitter.is_partial() => {
-                    return Err(broken("the stream ended within an event"));
+                    return Err(Failure::broken("the stream ended within an event"));
                 }
                 None => return Ok(None),
             }
@@ -293,15 +299,6 @@
     }
 }
 
-pub(super) fn silent() -> Failure {
-    let message = "the upstream has been silent for too long".to_string();
-    Failure { kind: FailureKind::Silent, reached: Reached::Sent, message }
-}
-
-fn broken(message: &str) -> Failure {
-    Failure { kind: FailureKind::Broken, reached: Reached::Sent, message: message.to_string() }
-}
-
 /// Names a request by its host, path and body, which stay the same when it comes again.
 fn fingerprint(job: &Job) -> Fingerprint {
     let place = Workspace(format!("{}{}", job.request.host, job.request.target));
--- a/serving/src/upstream/call.rs
+++ b/serving/src/upstream/call.rs
@@ -48,6 +48,29 @@
     pub message: String,
 }
 
+impl Failure {
+    /// No connection could be made.
+    fn connect(message: String) -> Failure {
+        Failure { kind: FailureKind::Connect, reached: Reached::Nothing, message }
+    }
+
+    /// The upstream says that it did not run the request.
+    fn refused(kind: FailureKind, message: &str) -> Failure {
+        Failure { kind, reached: Reached::Refused, message: message.to_string() }
+    }
+
+    /// The connection ended, or what came is no answer to the request.
+    pub(crate) fn broken(message: impl Into<String>) -> Failure {
+        Failure { kind: FailureKind::Broken, reached: Reached::Sent, message: message.into() }
+    }
+
+    /// Nothing came for too long after the request was sent.
+    pub(crate) fn silent() -> Failure {
+        let message = "the upstream has been silent for too long".to_string();
+        Failure { kind: FailureKind::Silent, reached: Reached::Sent, message }
+    }
+}
+
 /// The head of an answer, with its body still to come.
 pub struct Answer {
     pub parts: http::response::Parts,
@@ -77,18 +100,12 @@
         repeatable: bool,
     ) -> Result<Answer> {
         let mut connection =
-            self.checkout(send.upstream, address, repeatable).await.map_err(|message| Failure {
-                kind: FailureKind::Connect,
-                reached: Reached::Nothing,
-                message,
-            })?;
+            self.checkout(send.upstream, address, repeatable).await.map_err(Failure::connect)?;
         let response = match exchange(&mut connection, codec, request, send).await {
             // The kept connection was closed before a byte was sent: a new one is as good.
             Err(failure) if failure.reached == Reached::Nothing && connection.reused => {
                 connection =
-                    self.checkout(send.upstream, address, false).await.map_err(|message| {
-                        Failure { kind: FailureKind::Connect, reached: Reached::Nothing, message }
-                    })?;
+                    self.checkout(send.upstream, address, false).await.map_err(Failure::connect)?;
                 exchange(&mut connection, codec, request, send).await?
             }
             result => result?,
@@ -96,10 +113,13 @@
         let (parts, incoming) = response.into_parts();
         let head = codec.decode(&parts);
         if head.request.as_ref().is_some_and(|id| *id != request.id) {
-            return Err(broken("the answer belongs to another request"));
+            return Err(Failure::broken("the answer belongs to another request"));
         }
         if head.misdirected {
-            return Err(refused(FailureKind::Misdirected, "another upstream has the address"));
+            return Err(Failure::refused(
+                FailureKind::Misdirected,
+                "another upstream has the address",
+            ));
         }
         let body = Body {
             incoming,
@@ -113,10 +133,10 @@
         if head.not_run {
             // The connection is kept: a refusal under load must not cost a new one.
             let _ = body.whole().await;
-            return Err(refused(FailureKind::Full, "the upstream has no room"));
+            return Err(Failure::refused(FailureKind::Full, "the upstream has no room"));
         }
         if parts.status.is_success() && !head.sealed {
-            return Err(broken("the answer isn't sealed"));
+            return Err(Failure::broken("the answer isn't sealed"));
         }
         Ok(Answer { parts, head, body })
     }
@@ -133,7 +153,9 @@
                     // Trailers hold nothing that is passed on.
                     Err(_) => {}
                 },
-                Some(Err(error)) => return Err(broken(&format!("the answer broke off: {error}"))),
+                Some(Err(error)) => {
+                    return Err(Failure::broken(format!("the answer broke off: {error}")));
+                }
                 None => {
                     self.finish();
                     return Ok(None);
@@ -148,7 +170,7 @@
         while let Some(bytes) = self.next().await? {
             whole.extend_from_slice(&bytes);
             if whole.len() > WHOLE_BODY_BYTES {
-                return Err(broken("the answer is too long"));
+                return Err(Failure::broken("the answer is too long"));
             }
         }
         Ok(whole.freeze())
@@ -182,11 +204,3 @@
         Failure { kind: FailureKind::Broken, reached, message }
     })
 }
-
-fn broken(message: &str) -> Failure {
-    Failure { kind: FailureKind::Broken, reached: Reached::Sent, message: message.to_string() }
-}
-
-fn refused(kind: FailureKind, message: &str) -> Failure {
-    Failure { kind, reached: Reached::Refused, message: message.to_string() }
-}
