--- a/serving/src/balance/replica.rs
+++ b/serving/src/balance/replica.rs
@@ -36,6 +36,7 @@
     pub(super) full_until: Millis,
     /// No request is sent before this time, but for lack of another upstream.
     pub(super) ejected_until: Millis,
+    /// How long online requests take here.
     pub(super) span: Span,
     /// Failures since the last success.
     pub(super) failures: u32,
--- a/serving/src/balance/state.rs
+++ b/serving/src/balance/state.rs
@@ -49,6 +49,7 @@
     pub(super) upstreams: Vec<Upstream>,
     /// Those to which this node keeps connections, where there are many. `None` after a change.
     pub(super) favourites: Option<BTreeSet<Upstream>>,
+    /// How long online requests take in the service.
     pub(super) span: Span,
 }
 
