--- a/standins/src/emulator/fleet.rs
+++ b/standins/src/emulator/fleet.rs
@@ -4,7 +4,7 @@
 
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use serving::{
-    balance::{self, Class, Loads, Outcome, Pick, Want},
+    balance::{self, Class, Loads, Outcome, Want},
     batch::{
         quota::{self, Report},
         schedule,
@@ -16,10 +16,10 @@
 
 use super::{
     Scenario, Tally,
+    account::{self, Call},
     arrivals::{Day, Request},
     engine::{self, Engine, Run, Work},
     owner::Owner,
-    tally::Account,
 };
 
 /// How long a node takes to see that an engine has died under a request.
@@ -46,17 +46,6 @@
     reports: BTreeMap<u16, Report>,
 }
 
-/// What has become of a caller's request.
-#[derive(Clone, Debug, Default)]
-struct Call {
-    pick: Option<(usize, Pick)>,
-    first: Option<u64>,
-    done: bool,
-    refused: bool,
-    /// When the caller came back after a refusal.
-    returned: Option<u64>,
-}
-
 pub(super) struct Fleet<'a> {
     scenario: &'a Scenario,
     day: Day,
@@ -132,7 +121,9 @@
             self.run_owners(now);
             self.send_news(now);
         }
-        self.account();
+        self.tally.online = account::online(self.scenario, &self.day, &self.calls);
+        let items = self.owners.iter().flat_map(|owner| &owner.items);
+        self.tally.batch = account::batch(self.scenario, items);
         self.tally
     }
 
@@ -347,54 +338,4 @@
             }
         }
     }
-
-    fn account(&mut self) {
-        let online = &self.scenario.online;
-        let mut account = Account::default();
-        for (call, request) in self.calls.iter().zip(&self.day.requests) {
-            account.count += 1;
-            account.owed += online.worth;
-            account.refused += u32::from(call.refused);
-            let in_time = call.first.is_some_and(|at| at - request.at <= online.objective_ms);
-            match (call.done, in_time) {
-                (true, true) if request.loses_packet => {
-                    account.lost_packet += 1;
-                    account.earned += online.worth_late;
-                }
-                (true, true) => {
-                    account.in_time += 1;
-                    account.earned += online.worth;
-                }
-                (true, false) => {
-                    account.late += 1;
-                    let after = |from: u64| call.first.map_or(u64::MAX, |at| at - from);
-                    let is_half = call.returned.is_some_and(|at| after(at) <= online.objective_ms);
-                    account.earned += match is_half && !request.loses_packet {
-                        true => (online.worth + online.worth_late) / 2.0,
-                        false => online.worth_late,
-                    };
-                }
-                (false, _) => {}
-            }
-        }
-        self.tally.online = account;
-        let batch = &self.scenario.batch;
-        let mut account = Account::default();
-        for item in self.owners.iter().flat_map(|owner| &owner.items) {
-            account.count += 1;
-            account.owed += batch.worth;
-            match item.ended {
-                Some(at) if at <= item.due => {
-                    account.in_time += 1;
-                    account.earned += batch.worth;
-                }
-                Some(_) => {
-                    account.late += 1;
-                    account.earned += batch.worth_late;
-                }
-                None => {}
-            }
-        }
-        self.tally.batch = account;
-    }
 }
--- a/standins/src/emulator/mod.rs
+++ b/standins/src/emulator/mod.rs
@@ -8,8 +8,9 @@
 //! * `engine` is a model of one engine; `fleet` holds all engines and nodes and passes the time.
 //! * `owner` runs the batch items of one partition.
 //! * `ideal` schedules the same requests with perfect knowledge, as a bound.
-//! * `tally` counts what was earned.
+//! * `account` and `tally` count what was earned.
 
+mod account;
 mod arrivals;
 mod engine;
 mod fleet;
