fix(attempt): a resend reads the log to its end before it is told that the call runs

The answer had been recorded, but the node that was asked again had not read that record yet; it said from what it had read that the call still runs.

--- a/bulrushspread/src/attempt/intents.rs
+++ b/bulrushspread/src/attempt/intents.rs
@@ -82,7 +82,7 @@
             Error::new(Kind::LogUnavailable, "the log of at-most-once calls can't be read")
         })?;
         if let Some(entry) = log.get(&intent.key) {
-            return Ok(Claim::Known(entry));
+            return Ok(Claim::Known(log.refresh(context, entry, wait).await));
         }
         self.pending().insert(intent.nonce);
         let claim = self.append(context, log, &intent, wait).await;
@@ -195,6 +195,24 @@
         self.fold.lock().unwrap().get(key).cloned()
     }
 
+    /// What has become of a call by now. One that seems to run may have ended in records that this
+    /// node has not read yet.
+    async fn refresh(&self, context: &Shared, entry: Entry, wait: Millis) -> Entry {
+        if !matches!(entry.stage, Stage::Running) {
+            return entry;
+        }
+        let from = self.folded.borrow().unwrap_or(Offset(0));
+        match context.journal.head(&self.name, from).await {
+            Ok(head) => {
+                if self.wait_for(head, wait.min(CATCH_UP_TIMEOUT)).await.is_none() {
+                    log::debug!("attempt: {} could not be read up to {head} in time", self.name);
+                }
+            }
+            Err(error) => log::debug!("attempt: the end of {} is not known: {error}", self.name),
+        }
+        self.get(&entry.intent.key).unwrap_or(entry)
+    }
+
     /// Waits until everything before `offset` is folded.
     async fn wait_for(&self, offset: Offset, wait: Millis) -> Option<()> {
         let mut folded = self.folded.subscribe();
