fix(exchange): keep a silent upstream's run until another one has taken over

Callers saw a stream that ended in the middle, or 502 at once, while the replica that ran their request was sound and would have gone on after a second of silence.

Cause: after 900 ms of silence the node counted the upstream as failed and closed the connection to it, which ends the only run of the request, before it looked for another upstream. If there was none, if it refused or if it answered with an error, nothing was left to go on with. Class of fault: a resource is released before its replacement is secured.

Change: a request keeps its run while a successor is asked. The successor takes over with its first event or answer. If it refuses, fails or can't be reached, the silent upstream keeps the request, and another successor is looked for every 200 ms. Two upstreams hold a request for at most 350 ms; then the one that has spoken keeps it, else the successor. What the silent upstream sends meanwhile is held back, since the successor resumes after the event that the caller has. Before the first event and after it the same code decides (exchange::driver), which replaces two loops. A silent upstream is still ejected at once.

--- a/serving/src/balance/state.rs
+++ b/serving/src/balance/state.rs
@@ -175,14 +175,19 @@
             Outcome::Succeeded => replica.record_success(),
             Outcome::Neutral => {}
             Outcome::Full => replica.full_until = now + Millis(self.settings.full_ms),
-            Outcome::Failed => {
-                replica.record_failure(now, &self.settings);
-                self.ejected.insert(pick.upstream.clone());
-            }
+            Outcome::Failed => self.record_failure(now, &pick.upstream),
         }
         self.update_own_load(&pick.upstream, own_load);
     }
 
+    /// Records a failure of an upstream that may still have requests in flight.
+    pub fn record_failure(&mut self, now: Millis, upstream: &Upstream) {
+        if let Some(replica) = self.replicas.get_mut(upstream) {
+            replica.record_failure(now, &self.settings);
+            self.ejected.insert(upstream.clone());
+        }
+    }
+
     pub(super) fn update_own_load(&mut self, upstream: &Upstream, own_load: Load) {
         let digest = Digest::of(upstream);
         match own_load.total() {
--- /dev/null
+++ b/serving/src/exchange/driver.rs
@@ -0,0 +1,559 @@
+//! Drives one request through its sends until it is answered.
+//!
+//! A request has one run at a time. If its upstream falls silent, another one, the successor, is
+//! asked to take over. The silent upstream keeps the request until the successor answers, because
+//! the successor may refuse the request or fail while the silent upstream goes on.
+
+use std::{future::Future, pin::Pin, sync::Arc};
+
+use bytes::Bytes;
+
+use crate::{
+    balance::{Class, Outcome, Refusal},
+    catalog::Kind,
+    quarantine::{Fingerprint, Status},
+    time::Millis,
+    upstream::{self, Body, Failure},
+};
+
+use super::{
+    Context, RoutedRequest,
+    events::{Event, Splitter},
+    state::{self, Action, End, Silence, State},
+    task::{Permit, report_crash},
+    trace::Trace,
+};
+
+/// What the driver of a request produces next.
+pub(super) enum Output {
+    /// The complete answer of an upstream.
+    Answer {
+        parts: http::response::Parts,
+        body: Bytes,
+    },
+    /// The head of a stream, whose events follow.
+    Head(http::response::Parts),
+    Event(Bytes),
+    /// The stream is complete.
+    Complete,
+    /// The request ends without a complete answer. The caller may retry after `retry_after` if the
+    /// request has not run.
+    Ended {
+        end: End,
+        retry_after: Millis,
+    },
+}
+
+/// Answer of an upstream to one send.
+enum Received {
+    Complete { parts: http::response::Parts, body: Bytes },
+    Stream { parts: http::response::Parts, source: Box<EventStream> },
+}
+
+/// Events of a stream that has begun.
+struct EventStream {
+    body: Body,
+    splitter: Splitter,
+    /// First event, which is read before the upstream counts as having answered.
+    first: Option<Event>,
+}
+
+type Sending = Pin<Box<dyn Future<Output = upstream::Result<Received>> + Send>>;
+
+/// Where the answer of a run comes from.
+enum Source {
+    Sending(Sending),
+    Stream(Box<EventStream>),
+}
+
+/// The request at one upstream. Dropping the run cancels the request there.
+struct Run {
+    permit: Permit,
+    source: Source,
+    /// Whether the upstream has been silent for too long and hasn't sent anything since.
+    is_silent: bool,
+}
+
+/// A run that is to take over from the silent one.
+struct Successor {
+    permit: Permit,
+    sending: Sending,
+    /// End of the overlap with the silent run.
+    until: Millis,
+}
+
+/// What a run produces next.
+enum Progress {
+    Received(Received),
+    Event(Event),
+    Complete,
+    Failed(Failure),
+}
+
+/// What the driver waits for.
+enum Wake {
+    Current(Progress),
+    Successor(upstream::Result<Received>),
+    Time,
+}
+
+pub(super) struct Driver {
+    context: Arc<Context>,
+    routed: Arc<RoutedRequest>,
+    state: State,
+    pub(super) trace: Trace,
+    fingerprint: Fingerprint,
+    status: Status,
+    /// The run on which the caller's answer depends. `None` until the request is sent, and after a
+    /// failed send.
+    current: Option<Run>,
+    /// Exists only while `current` does.
+    successor: Option<Successor>,
+    /// What the current run of a stream has produced since it was silent. Held back until the
+    /// successor has answered or failed, because the successor resumes after the event that the
+    /// caller has now.
+    held: Option<Progress>,
+    /// Time at which to ask a successor.
+    search_at: Millis,
+}
+
+impl Driver {
+    pub(super) fn new(
+        context: &Arc<Context>,
+        routed: RoutedRequest,
+        trace: Trace,
+        fingerprint: Fingerprint,
+        status: Status,
+    ) -> Driver {
+        Driver {
+            context: Arc::clone(context),
+            state: new_state(&routed),
+            routed: Arc::new(routed),
+            trace,
+            fingerprint,
+            status,
+            current: None,
+            successor: None,
+            held: None,
+            search_at: Millis(0),
+        }
+    }
+
+    pub(super) fn deadline(&self) -> Millis {
+        self.state.deadline()
+    }
+
+    /// Runs the request until there is something to forward to the caller.
+    pub(super) async fn next(&mut self) -> Output {
+        if self.current.as_ref().is_some_and(|current| !current.is_silent) {
+            self.search_at = self.state.silence_deadline(self.context.clock.now());
+        }
+        loop {
+            let output = match self.wait().await {
+                Some(Wake::Current(progress)) => self.handle_current(progress),
+                Some(Wake::Successor(result)) => self.handle_successor(result),
+                Some(Wake::Time) => self.handle_time(),
+                None => self.send_first(),
+            };
+            if let Some(output) = output {
+                return output;
+            }
+        }
+    }
+
+    /// Waits for the runs. `None` if there is no run.
+    async fn wait(&mut self) -> Option<Wake> {
+        let now = self.context.clock.now();
+        let current = self.current.as_mut()?;
+        let wake_at = match &self.successor {
+            Some(successor) => successor.until,
+            None => self.search_at,
+        };
+        if now >= self.state.deadline() {
+            return Some(Wake::Time);
+        }
+        let is_held = self.held.is_some();
+        let wake = tokio::select! {
+            // What has arrived counts before a timer that fired meanwhile.
+            biased;
+            progress = current.next(), if !is_held => Wake::Current(progress),
+            Some(result) = next_of(&mut self.successor) => Wake::Successor(result),
+            () = tokio::time::sleep((wake_at - now).duration()) => Wake::Time,
+        };
+        Some(wake)
+    }
+
+    /// Sends the request when it has no run.
+    fn send_first(&mut self) -> Option<Output> {
+        match self.choose() {
+            Ok(permit) => {
+                let sending = self.send(&permit);
+                self.set_current(permit, Source::Sending(sending));
+                None
+            }
+            Err(refusal) => {
+                self.trace.record_refusal(refusal);
+                let end = self.state.end_without_upstream();
+                Some(self.end(end, retry_after(refusal)))
+            }
+        }
+    }
+
+    fn handle_current(&mut self, progress: Progress) -> Option<Output> {
+        let current = self.current.as_mut()?;
+        let is_answer = matches!(progress, Progress::Received(Received::Complete { .. }));
+        let is_failure = matches!(progress, Progress::Failed(_));
+        if self.successor.is_some() && !is_answer && !is_failure {
+            current.is_silent = false;
+            self.held = Some(progress);
+            return None;
+        }
+        match progress {
+            Progress::Received(Received::Complete { parts, body }) => {
+                self.handle_answer(parts, body)
+            }
+            Progress::Received(Received::Stream { parts, source }) => {
+                current.source = Source::Stream(source);
+                self.resume_waiting();
+                (!self.state.has_begun()).then_some(Output::Head(parts))
+            }
+            Progress::Event(event) => self.handle_event(event),
+            Progress::Complete => {
+                current.permit.outcome = Outcome::Succeeded;
+                self.context.quarantine().record_success(&self.fingerprint);
+                self.trace.finish("completed", "");
+                Some(Output::Complete)
+            }
+            Progress::Failed(failure) => self.handle_failure(failure),
+        }
+    }
+
+    /// Handles the complete answer of the current run.
+    fn handle_answer(&mut self, parts: http::response::Parts, body: Bytes) -> Option<Output> {
+        if self.state.has_begun() {
+            return self.handle_failure(not_resumed(parts.status));
+        }
+        let current = self.current.as_ref()?;
+        if !parts.status.is_server_error() {
+            return self.answer(parts, body);
+        }
+        let upstream = current.permit.pick.upstream.clone();
+        let is_resent = self.state.record_error_answer(self.context.clock.now(), &upstream);
+        if self.successor.is_none() && !is_resent {
+            return self.answer(parts, body);
+        }
+        self.trace.record_failure(&current.permit, parts.status.as_str());
+        self.end_current(Outcome::Failed);
+        None
+    }
+
+    fn handle_event(&mut self, event: Event) -> Option<Output> {
+        match self.state.accept_event(event.id) {
+            Ok(is_new) => {
+                self.resume_waiting();
+                if is_new {
+                    self.trace.record_first_event();
+                }
+                is_new.then_some(Output::Event(event.bytes))
+            }
+            Err(gap) => {
+                self.end_current(Outcome::Failed);
+                self.trace.finish("cut", &gap.to_string());
+                Some(Output::Ended { end: End::Cut, retry_after: Millis(0) })
+            }
+        }
+    }
+
+    fn handle_failure(&mut self, failure: Failure) -> Option<Output> {
+        let current = self.current.as_ref()?;
+        self.trace.record_failure(&current.permit, &failure.message);
+        report_crash(&self.context, self.fingerprint, &current.permit.pick, &failure);
+        let now = self.context.clock.now();
+        let action = self.state.record_failure(now, &current.permit.pick.upstream, &failure);
+        let has_successor = self.successor.is_some();
+        self.end_current(state::health_outcome(&failure));
+        match action {
+            Action::End(end) if !has_successor => {
+                let retry_after = self.context.balance().retry_after();
+                Some(self.end(end, retry_after))
+            }
+            Action::End(_) | Action::Send { .. } => None,
+        }
+    }
+
+    fn handle_successor(&mut self, result: upstream::Result<Received>) -> Option<Output> {
+        let successor = self.successor.take()?;
+        let failure = match result {
+            Ok(Received::Stream { parts, source }) => {
+                self.trace.record_takeover(&successor.permit);
+                self.set_current(successor.permit, Source::Stream(source));
+                return (!self.state.has_begun()).then_some(Output::Head(parts));
+            }
+            Ok(Received::Complete { parts, .. }) if self.state.has_begun() => {
+                not_resumed(parts.status)
+            }
+            Ok(Received::Complete { parts, .. }) if parts.status.is_server_error() => {
+                Failure::broken(format!("the upstream answered {}", parts.status))
+            }
+            Ok(Received::Complete { parts, body }) => {
+                self.set_current(
+                    successor.permit,
+                    Source::Sending(Box::pin(std::future::pending())),
+                );
+                return self.answer(parts, body);
+            }
+            Err(failure) => {
+                let pick = &successor.permit.pick;
+                report_crash(&self.context, self.fingerprint, pick, &failure);
+                failure
+            }
+        };
+        self.trace.record_failure(&successor.permit, &failure.message);
+        self.state.record_successor_failure(&successor.permit.pick.upstream, &failure);
+        end_run(successor.permit, state::health_outcome(&failure));
+        self.release_held()
+    }
+
+    /// Goes on with the current run after its successor has failed.
+    fn release_held(&mut self) -> Option<Output> {
+        let now = self.context.clock.now();
+        if let Some(progress) = self.held.take() {
+            self.search_at = self.state.silence_deadline(now);
+            return self.handle_current(progress);
+        }
+        self.search_at = self.state.next_search(now);
+        None
+    }
+
+    fn handle_time(&mut self) -> Option<Output> {
+        let now = self.context.clock.now();
+        let current = self.current.as_mut()?;
+        if now < self.state.deadline() && self.successor.is_some() {
+            return match current.is_silent {
+                true => {
+                    self.trace.record_failure(&current.permit, "silent, and replaced");
+                    self.end_current(Outcome::Neutral);
+                    None
+                }
+                false => {
+                    let successor = self.successor.take()?;
+                    self.trace.record_failure(&successor.permit, "no answer in time");
+                    self.release_held()
+                }
+            };
+        }
+        match self.state.record_silence(now, &current.permit.pick.upstream) {
+            Silence::End(end) => {
+                let outcome = match self.state.has_begun() || current.is_silent {
+                    true => Outcome::Neutral,
+                    false => Outcome::Failed,
+                };
+                self.trace.record_failure(&current.permit, &Failure::timed_out().message);
+                self.successor = None;
+                self.end_current(outcome);
+                let retry_after = self.context.balance().retry_after();
+                Some(self.end(end, retry_after))
+            }
+            Silence::Wait => {
+                self.search_at = self.state.deadline();
+                None
+            }
+            Silence::FindSuccessor => {
+                self.find_successor(now);
+                None
+            }
+        }
+    }
+
+    /// Asks another upstream to take over from the silent one, if there is one with capacity.
+    fn find_successor(&mut self, now: Millis) {
+        let Some(current) = &mut self.current else { return };
+        let was_silent = std::mem::replace(&mut current.is_silent, true);
+        if !was_silent {
+            self.trace.record_silence(&current.permit);
+            self.context.balance().record_failure(now, &current.permit.pick.upstream);
+        }
+        match self.choose() {
+            Ok(permit) => {
+                let sending = self.send(&permit);
+                let until = self.state.overlap_deadline(now);
+                self.successor = Some(Successor { permit, sending, until });
+            }
+            Err(refusal) => {
+                if !was_silent {
+                    self.trace.record_refusal(refusal);
+                }
+                self.search_at = self.state.next_search(now);
+            }
+        }
+    }
+
+    fn choose(&self) -> Result<Permit, Refusal> {
+        let objective = self.routed.route.latency_objective;
+        let service = &self.routed.service;
+        self.context.choose(service, Class::Online, &self.state.excluded, objective)
+    }
+
+    /// Sends the request to the upstream of `permit`.
+    fn send(&mut self, permit: &Permit) -> Sending {
+        self.state.record_send();
+        self.trace.record_send(permit);
+        let (context, routed) = (Arc::clone(&self.context), Arc::clone(&self.routed));
+        let pick = permit.pick.clone();
+        let remaining = (self.state.deadline() - context.clock.now()).duration();
+        let resume_after = self.state.resume_after();
+        let is_retryable = self.state.is_retryable();
+        Box::pin(async move {
+            let options = upstream::Options {
+                upstream: &pick.upstream,
+                deadline: Some(remaining),
+                resume_after,
+            };
+            let codec = context.codec.as_ref();
+            let answer = context
+                .pool
+                .send(codec, &routed.request, options, pick.address, is_retryable)
+                .await?;
+            let is_stream = matches!(routed.route.kind, Kind::Stream { .. });
+            if !is_stream || !answer.parts.status.is_success() {
+                let body = answer.body.collect().await?;
+                return Ok(Received::Complete { parts: answer.parts, body });
+            }
+            let mut source =
+                EventStream { body: answer.body, splitter: Splitter::default(), first: None };
+            source.first = source.next().await?;
+            Ok(Received::Stream { parts: answer.parts, source: Box::new(source) })
+        })
+    }
+
+    /// Replaces the current run.
+    fn set_current(&mut self, permit: Permit, source: Source) {
+        self.current = Some(Run { permit, source, is_silent: false });
+        self.held = None;
+        self.search_at = self.state.silence_deadline(self.context.clock.now());
+    }
+
+    /// Ends the current run with `outcome`. The successor, if there is one, becomes the current
+    /// run.
+    fn end_current(&mut self, outcome: Outcome) {
+        if let Some(current) = self.current.take() {
+            end_run(current.permit, outcome);
+        }
+        self.held = None;
+        if let Some(successor) = self.successor.take() {
+            self.set_current(successor.permit, Source::Sending(successor.sending));
+        }
+    }
+
+    /// Records that the current run has sent something.
+    fn resume_waiting(&mut self) {
+        if let Some(current) = &mut self.current {
+            current.is_silent = false;
+        }
+        self.search_at = self.state.silence_deadline(self.context.clock.now());
+    }
+
+    /// Ends the request with the answer of the current run.
+    fn answer(&mut self, parts: http::response::Parts, body: Bytes) -> Option<Output> {
+        let mut current = self.current.take()?;
+        self.successor = None;
+        let has_failed = parts.status.is_server_error();
+        self.trace.record_answer(&current.permit, parts.status);
+        current.permit.outcome = if has_failed { Outcome::Failed } else { Outcome::Succeeded };
+        if self.status == Status::Suspect && !has_failed {
+            self.context.quarantine().record_success(&self.fingerprint);
+        }
+        Some(Output::Answer { parts, body })
+    }
+
+    /// Ends the request without a complete answer.
+    fn end(&mut self, end: End, retry_after: Millis) -> Output {
+        let (outcome, reason) = match end {
+            End::NotRun => ("refused", "the request has not run"),
+            End::Timeout => ("timeout", "the time of the request is up"),
+            End::Unknown => ("failed", "no complete answer"),
+            End::Cut => ("cut", "no upstream can go on with the stream"),
+        };
+        self.trace.finish(outcome, reason);
+        Output::Ended { end, retry_after }
+    }
+}
+
+impl Run {
+    /// Cancel-safe: a future that is dropped loses nothing.
+    async fn next(&mut self) -> Progress {
+        match &mut self.source {
+            Source::Sending(sending) => match sending.await {
+                Ok(received) => Progress::Received(received),
+                Err(failure) => Progress::Failed(failure),
+            },
+            Source::Stream(stream) => match stream.next().await {
+                Ok(Some(event)) => Progress::Event(event),
+                Ok(None) => Progress::Complete,
+                Err(failure) => Progress::Failed(failure),
+            },
+        }
+    }
+}
+
+impl EventStream {
+    /// Reads the next complete event. `None` is the end of the stream.
+    async fn next(&mut self) -> upstream::Result<Option<Event>> {
+        if let Some(event) = self.first.take() {
+            return Ok(Some(event));
+        }
+        loop {
+            if let Some(event) = self.splitter.next() {
+                return Ok(Some(event));
+            }
+            if self.splitter.is_overlong() {
+                return Err(Failure::broken("an event is too long"));
+            }
+            match self.body.next_chunk().await? {
+                Some(bytes) => self.splitter.push(&bytes),
+                None if self.splitter.is_partial() => {
+                    return Err(Failure::broken("the stream ended within an event"));
+                }
+                None => return Ok(None),
+            }
+        }
+    }
+}
+
+/// Waits for the answer of the successor. `None` if there is no successor.
+async fn next_of(successor: &mut Option<Successor>) -> Option<upstream::Result<Received>> {
+    match successor {
+        Some(successor) => Some(successor.sending.as_mut().await),
+        None => None,
+    }
+}
+
+/// Ends a run with `outcome`.
+fn end_run(mut permit: Permit, outcome: Outcome) {
+    permit.outcome = outcome;
+}
+
+fn new_state(routed: &RoutedRequest) -> State {
+    let timeout = routed.caller_timeout.unwrap_or(routed.route.timeout).min(routed.route.timeout);
+    let deadline = routed.arrived + timeout;
+    let mut state = State::new(
+        routed.route.kind,
+        routed.route.max_attempts,
+        deadline,
+        routed.route.latency_objective,
+    );
+    if let Some(event) = routed.last_event {
+        state.set_last_event(event);
+    }
+    state
+}
+
+fn not_resumed(status: http::StatusCode) -> Failure {
+    Failure::broken(format!("the upstream answered {status} instead of resuming"))
+}
+
+fn retry_after(refusal: Refusal) -> Millis {
+    match refusal {
+        Refusal::NoUpstream { retry_after } | Refusal::Full { retry_after, .. } => retry_after,
+    }
+}
--- a/serving/src/exchange/mod.rs
+++ b/serving/src/exchange/mod.rs
@@ -1,10 +1,13 @@
 //! Proxies one online request to an upstream and returns the answer, with retries.
 //!
 //! * `state` decides after each failure whether the request is sent again, resumed or ended.
+//! * `driver` executes these decisions: it sends the request and waits for answers.
 //! * `events` splits a stream of bytes into server-sent events.
-//! * `task` executes these decisions, and `relay` forwards the events of a stream to the caller.
+//! * `task` starts the driver of a request, and `relay` forwards the events of a stream to the
+//!   caller.
 //! * `trace` writes one log line for each request.
 
+mod driver;
 pub mod events;
 mod relay;
 pub mod state;
--- a/serving/src/exchange/state.rs
+++ b/serving/src/exchange/state.rs
@@ -17,6 +17,12 @@
 const MIN_SILENCE: Millis = Millis(600);
 /// Minimum time before the deadline for which a request is sent again.
 const MIN_TIME_TO_SEND: Millis = Millis(20);
+/// Maximum time for which a silent upstream keeps a request beside the successor that was asked to
+/// take over. Longer than the connect timeout, so that an unreachable successor replaces nobody;
+/// shorter than 400 ms, the longest time for which two upstreams may work on one stream.
+const MAX_OVERLAP: Millis = Millis(350);
+/// Interval between searches for a successor while an upstream stays silent.
+const SEARCH_INTERVAL: Millis = Millis(200);
 
 /// What to do after a failure.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -28,6 +34,16 @@
     End(End),
 }
 
+/// What to do about an upstream that has been silent for too long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Silence {
+    /// Ask another upstream to take over, and keep the silent one until it does.
+    FindSuccessor,
+    /// Keep waiting: the request can't be sent again.
+    Wait,
+    End(End),
+}
+
 /// How a request ends without a complete answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
@@ -94,15 +110,55 @@
         self.attempts = self.attempts.saturating_sub(1);
     }
 
-    /// Time at which a silent upstream counts as failed. If the request can't be sent again, this
-    /// is its deadline, because giving up earlier would gain nothing.
+    /// Time at which another upstream is to take over from one that stays silent. If the request
+    /// can't be sent again, this is its deadline.
     pub fn silence_deadline(&self, now: Millis) -> Millis {
-        match self.kind.is_retryable() && self.attempts > 0 {
+        match self.can_find_successor() {
             true => self.deadline.min(now + self.max_silence),
             false => self.deadline,
         }
     }
 
+    /// Records that the upstream with the request has been silent until its silence deadline.
+    pub fn record_silence(&mut self, now: Millis, upstream: &Upstream) -> Silence {
+        self.excluded.insert(upstream.clone());
+        self.may_have_run = true;
+        if now >= self.deadline {
+            return Silence::End(self.end_at_deadline());
+        }
+        match self.can_find_successor() && now + MIN_TIME_TO_SEND < self.deadline {
+            true => Silence::FindSuccessor,
+            false => Silence::Wait,
+        }
+    }
+
+    /// Time by which a successor that is asked at `now` must answer before the silent upstream
+    /// loses the request.
+    pub fn overlap_deadline(&self, now: Millis) -> Millis {
+        self.deadline.min(now + MAX_OVERLAP)
+    }
+
+    /// Time of the next search for a successor of an upstream that stays silent.
+    pub fn next_search(&self, now: Millis) -> Millis {
+        match self.can_find_successor() {
+            true => self.deadline.min(now + SEARCH_INTERVAL),
+            false => self.deadline,
+        }
+    }
+
+    /// Records that a successor failed or refused the request, which the silent upstream keeps. A
+    /// refusal doesn't count as an attempt, because the request still has a run.
+    pub fn record_successor_failure(&mut self, upstream: &Upstream, failure: &Failure) {
+        self.excluded.insert(upstream.clone());
+        if failure.delivery != Delivery::Sent {
+            self.attempts += 1;
+        }
+    }
+
+    fn can_find_successor(&self) -> bool {
+        self.kind.is_retryable() && self.attempts > 0
+    }
+
     /// Checks the next event of a stream. Returns whether to forward it: a resumed stream may
     /// repeat events that the caller has, and such events are dropped.
     ///
@@ -167,9 +223,9 @@
         }
     }
 
-    /// Records that an upstream may have run the request.
-    pub fn record_possible_run(&mut self) {
-        self.may_have_run = true;
+    /// Whether a part of the answer was forwarded to the caller.
+    pub fn has_begun(&self) -> bool {
+        self.has_begun
     }
 
     fn next_action(&self, now: Millis) -> Action {
--- a/serving/src/exchange/task.rs
+++ b/serving/src/exchange/task.rs
@@ -1,4 +1,4 @@
-//! Sends a request and retries it where that is allowed, until there is an answer to forward.
+//! Starts the driver of a request, and the context that all requests share.
 
 use std::{
     collections::BTreeSet,
@@ -10,18 +10,18 @@
 
 use crate::{
     balance::{self, Class, Criteria, Outcome, Pick, Refusal},
-    catalog::{Kind, Route},
+    catalog::Route,
     id::{Service, Workspace},
     metrics::Metrics,
     quarantine::{Fingerprint, Quarantine, Status},
     time::{Clock, Millis},
-    upstream::{self, Body, Codec, Failure, Pool, Request},
+    upstream::{Codec, Failure, Pool, Request},
 };
 
 use super::{
-    events::{Event, Splitter},
+    driver::{Driver, Output},
     relay::{Relay, Truncated},
-    state::{self, Action, End, State},
+    state::{self, End},
     trace::Trace,
 };
 
@@ -116,20 +116,6 @@
     }
 }
 
-/// Answer of an upstream to one send.
-pub(super) enum Received {
-    Complete { parts: http::response::Parts, body: Bytes },
-    Stream { parts: http::response::Parts, source: Box<EventStream> },
-}
-
-/// Events of a stream that has begun.
-pub(super) struct EventStream {
-    pub(super) body: Body,
-    pub(super) splitter: Splitter,
-    /// First event, which is read before the upstream counts as having answered.
-    pub(super) first: Option<Event>,
-}
-
 /// Sends a request until there is an answer or no retry is left. Dropping the future cancels the
 /// request, except for a stream that has begun: it ends when its receiver is dropped.
 pub async fn run(context: &Arc<Context>, routed: RoutedRequest) -> Answer {
@@ -140,181 +126,21 @@
         trace.finish("quarantined", "the request has crashed upstreams");
         return Answer::Refused { retry_after: QUARANTINE_RETRY_AFTER };
     }
-    let mut state = new_state(&routed);
-    loop {
-        let permit = match context.choose(
-            &routed.service,
-            Class::Online,
-            &state.excluded,
-            routed.route.latency_objective,
-        ) {
-            Ok(permit) => permit,
-            Err(refusal) => {
-                trace.record_refusal(refusal);
-                return finish_without_answer(
-                    trace,
-                    state.end_without_upstream(),
-                    retry_after(refusal),
-                );
-            }
-        };
-        state.record_send();
-        trace.record_send(&permit);
-        match send_once(context, &routed, &mut state, &permit).await {
-            Ok(Received::Complete { parts, body }) => {
-                let failed = parts.status.is_server_error();
-                let now = context.clock.now();
-                if failed && state.record_error_answer(now, &permit.pick.upstream) {
-                    trace.record_failure(&permit, parts.status.as_str());
-                    end_request(permit, Outcome::Failed);
-                    continue;
-                }
-                trace.record_answer(&permit, parts.status);
-                end_request(permit, if failed { Outcome::Failed } else { Outcome::Succeeded });
-                if status == Status::Suspect && !failed {
-                    context.quarantine().record_success(&fingerprint);
-                }
-                return Answer::Complete { parts, body };
-            }
-            Ok(Received::Stream { parts, source }) => {
-                let (sender, events) = mpsc::channel(RELAY_BUFFER_EVENTS);
-                let relay = Relay {
-                    context: Arc::clone(context),
-                    routed,
-                    state,
-                    trace,
-                    permit,
-                    source,
-                    sender,
-                    fingerprint,
-                };
-                tokio::spawn(relay.run());
-                return Answer::Stream { parts, events };
-            }
-            Err(failure) => {
-                trace.record_failure(&permit, &failure.message);
-                report_crash(context, fingerprint, &permit.pick, &failure);
-                let action =
-                    state.record_failure(context.clock.now(), &permit.pick.upstream, &failure);
-                end_request(permit, state::health_outcome(&failure));
-                match action {
-                    Action::Send { .. } => {}
-                    Action::End(end) => {
-                        let retry_after = context.balance().retry_after();
-                        return finish_without_answer(trace, end, retry_after);
-                    }
-                }
-            }
-        }
-    }
-}
-
-/// Ends a request in flight with `outcome`.
-pub(super) fn end_request(mut permit: Permit, outcome: Outcome) {
-    permit.outcome = outcome;
-}
-
-fn new_state(routed: &RoutedRequest) -> State {
-    let timeout = routed.caller_timeout.unwrap_or(routed.route.timeout).min(routed.route.timeout);
-    let deadline = routed.arrived + timeout;
-    let mut state = State::new(
-        routed.route.kind,
-        routed.route.max_attempts,
-        deadline,
-        routed.route.latency_objective,
-    );
-    if let Some(event) = routed.last_event {
-        state.set_last_event(event);
-    }
-    state
-}
-
-fn finish_without_answer(mut trace: Trace, end: End, retry_after: Millis) -> Answer {
-    match end {
-        End::NotRun => {
-            trace.finish("refused", "the request has not run");
-            Answer::Refused { retry_after }
-        }
-        End::Timeout => {
-            trace.finish("timeout", "the time of the request is up");
-            Answer::Failed { timeout: true }
-        }
-        End::Unknown | End::Cut => {
-            trace.finish("failed", "no complete answer");
-            Answer::Failed { timeout: false }
-        }
-    }
-}
-
-fn retry_after(refusal: Refusal) -> Millis {
-    match refusal {
-        Refusal::NoUpstream { retry_after } | Refusal::Full { retry_after, .. } => retry_after,
-    }
-}
-
-/// Sends the request to one upstream and waits for the whole answer or the first event of a stream.
-pub(super) async fn send_once(
-    context: &Arc<Context>,
-    routed: &RoutedRequest,
-    state: &mut State,
-    permit: &Permit,
-) -> upstream::Result<Received> {
-    let now = context.clock.now();
-    let silence_deadline = state.silence_deadline(now);
-    let options = upstream::Options {
-        upstream: &permit.pick.upstream,
-        deadline: Some((state.deadline() - now).duration()),
-        resume_after: state.resume_after(),
-    };
-    let is_retryable = state.is_retryable();
-    let is_stream = matches!(routed.route.kind, Kind::Stream { .. });
-    let sending = async {
-        let codec = context.codec.as_ref();
-        let answer = context
-            .pool
-            .send(codec, &routed.request, options, permit.pick.address, is_retryable)
-            .await?;
-        if !is_stream || !answer.parts.status.is_success() {
-            return Ok(Received::Complete {
-                parts: answer.parts,
-                body: answer.body.collect().await?,
-            });
-        }
-        let mut source =
-            EventStream { body: answer.body, splitter: Splitter::default(), first: None };
-        source.first = source.next().await?;
-        Ok(Received::Stream { parts: answer.parts, source: Box::new(source) })
-    };
-    match tokio::time::timeout((silence_deadline - now).duration(), sending).await {
-        Ok(result) => result,
-        Err(_) => {
-            state.record_possible_run();
-            Err(Failure::timed_out())
-        }
-    }
-}
-
-impl EventStream {
-    /// Reads the next complete event. `None` is the end of the stream.
-    pub(super) async fn next(&mut self) -> upstream::Result<Option<Event>> {
-        if let Some(event) = self.first.take() {
-            return Ok(Some(event));
-        }
-        loop {
-            if let Some(event) = self.splitter.next() {
-                return Ok(Some(event));
-            }
-            if self.splitter.is_overlong() {
-                return Err(Failure::broken("an event is too long"));
-            }
-            match self.body.next_chunk().await? {
-                Some(bytes) => self.splitter.push(&bytes),
-                None if self.splitter.is_partial() => {
-                    return Err(Failure::broken("the stream ended within an event"));
-                }
-                None => return Ok(None),
-            }
+    let mut driver = Driver::new(context, routed, trace, fingerprint, status);
+    match driver.next().await {
+        Output::Answer { parts, body } => Answer::Complete { parts, body },
+        Output::Head(parts) => {
+            let (sender, events) = mpsc::channel(RELAY_BUFFER_EVENTS);
+            let relay = Relay { context: Arc::clone(context), driver, sender };
+            tokio::spawn(relay.run());
+            Answer::Stream { parts, events }
         }
+        Output::Ended { end: End::NotRun, retry_after } => Answer::Refused { retry_after },
+        Output::Ended { end: End::Timeout, .. } => Answer::Failed { timeout: true },
+        // Events come after the head only.
+        Output::Ended { end: End::Unknown | End::Cut, .. }
+        | Output::Event(_)
+        | Output::Complete => Answer::Failed { timeout: false },
     }
 }
 
--- a/serving/src/exchange/trace.rs
+++ b/serving/src/exchange/trace.rs
@@ -51,6 +51,17 @@
         self.append_to_sends(format_args!("{} failed @{at}: {reason}", permit.pick.upstream));
     }
 
+    pub(super) fn record_silence(&mut self, permit: &Permit) {
+        let at = self.elapsed();
+        self.context.metrics.count(&self.context.metrics.sends, &self.service, "silent");
+        self.append_to_sends(format_args!("{} silent @{at}", permit.pick.upstream));
+    }
+
+    pub(super) fn record_takeover(&mut self, permit: &Permit) {
+        let at = self.elapsed();
+        self.append_to_sends(format_args!("{} took over @{at}", permit.pick.upstream));
+    }
+
     pub(super) fn record_refusal(&mut self, refusal: Refusal) {
         let at = self.elapsed();
         self.append_to_sends(format_args!("{refusal:?} @{at}"));
--- a/serving/tests/exchange_state.rs
+++ b/serving/tests/exchange_state.rs
@@ -6,7 +6,7 @@
 };
 use serving::{
     catalog::Kind,
-    exchange::state::{Action, End, State, may_be_crash},
+    exchange::state::{Action, End, Silence, State, may_be_crash},
     id::Upstream,
     time::Millis,
     upstream::{Delivery, Failure, FailureKind},
@@ -109,6 +109,55 @@
     assert_eq!(repeatable.silence_deadline(Millis(0)), END, "no attempt is left");
 }
 
+/// A silent upstream must keep the request while no other one has it, however many refuse it.
+#[test]
+fn silent_upstream_keeps_the_request_until_its_deadline() {
+    let mut state = state(Kind::Stream { resumable: true }, 2);
+    let silent = Upstream::from("silent");
+    state.record_send();
+    let mut now = state.silence_deadline(Millis(0));
+    assert_eq!(now, Millis(900));
+    for index in 0.. {
+        match state.record_silence(now, &silent) {
+            Silence::FindSuccessor => {
+                state.record_send();
+                assert!(state.overlap_deadline(now) - now < Millis(400), "two runs of a stream");
+                let delivery = if index % 2 == 0 { Delivery::Refused } else { Delivery::NotSent };
+                let other = Upstream(format!("other-{index}"));
+                state.record_successor_failure(&other, &failure(delivery));
+                now = state.next_search(now);
+            }
+            Silence::Wait => now = END,
+            Silence::End(end) => {
+                assert_eq!((now, end), (END, End::Timeout));
+                break;
+            }
+        }
+    }
+}
+
+/// A successor that may have run the request uses up an attempt, although the silent upstream keeps
+/// the request.
+#[test]
+fn successor_that_may_have_run_counts_as_an_attempt() {
+    let mut state = state(Kind::Idempotent, 2);
+    state.record_send();
+    assert_eq!(state.record_silence(Millis(900), &"silent".into()), Silence::FindSuccessor);
+    state.record_send();
+    state.record_successor_failure(&"other".into(), &failure(Delivery::Sent));
+    assert_eq!(state.next_search(Millis(950)), END);
+    assert_eq!(state.record_silence(Millis(1_000), &"silent".into()), Silence::Wait);
+}
+
+/// A request that must run at most once stays with its silent upstream.
+#[test]
+fn at_most_once_request_has_no_successor() {
+    let mut state = state(Kind::AtMostOnce, 3);
+    state.record_send();
+    assert_eq!(state.record_silence(Millis(900), &"silent".into()), Silence::Wait);
+    assert_eq!(state.record_silence(END, &"silent".into()), Silence::End(End::Timeout));
+}
+
 /// Upstreams that become silent or unreachable must not send the requests in flight there to
 /// quarantine.
 #[test]
