fix(exchange): continue a broken stream only at its software version

Cause: nothing in serving/ knew the version of an upstream. When a stream broke, the next upstream was chosen by load among all of the service.

The version of the upstream that brought the first event stays with the request, and only upstreams of this version are eligible from then on. Without one the stream is cut, so that the caller decides. `sends` in the log names the version of each upstream.

--- a/serving/src/balance/choice.rs
+++ b/serving/src/balance/choice.rs
@@ -9,6 +9,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
+    fleet::Entry,
     id::{Service, Upstream},
     time::Millis,
 };
@@ -149,7 +150,7 @@
 
     fn add_in_flight(&mut self, now: Millis, upstream: Upstream, class: Class) -> Pick {
         let load = self.replicas[&upstream].load().total();
-        let address = self.replicas[&upstream].entry.address;
+        let Entry { address, version, .. } = self.replicas[&upstream].entry.clone();
         if let Some(replica) = self.replicas.get_mut(&upstream) {
             match class {
                 Class::Online => replica.own_load.online += 1,
@@ -158,11 +159,12 @@
         }
         let own_load = self.replicas[&upstream].own_load;
         self.update_own_load(&upstream, own_load);
-        Pick { upstream, address, class, load, chosen_at: now }
+        Pick { upstream, address, version, class, load, chosen_at: now }
     }
 }
 
-/// The upstreams that may get the request: neither draining, excluded nor, in general, ejected.
+/// The upstreams that may get the request: of the version that the request needs, and neither
+/// draining, excluded nor, in general, ejected.
 fn eligible<'a>(
     replicas: &BTreeMap<Upstream, Replica>,
     now: Millis,
@@ -171,7 +173,10 @@
     settings: &Settings,
 ) -> Vec<&'a Upstream> {
     let is_candidate = |upstream: &&&Upstream| {
-        !replicas[**upstream].entry.draining && !criteria.excluded.contains(**upstream)
+        let entry = &replicas[**upstream].entry;
+        !entry.draining
+            && !criteria.excluded.contains(**upstream)
+            && criteria.version.is_none_or(|version| *version == entry.version)
     };
     let (ejected, healthy): (Vec<&Upstream>, Vec<&Upstream>) = upstreams
         .iter()
--- a/serving/src/balance/request.rs
+++ b/serving/src/balance/request.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, net::SocketAddr};
 
 use crate::{
-    id::{Service, Upstream},
+    id::{Service, Upstream, Version},
     time::Millis,
 };
 
@@ -21,6 +21,9 @@
     pub class: Class,
     /// Upstreams that already failed or refused the request.
     pub excluded: &'a BTreeSet<Upstream>,
+    /// The only version that may take the request, because it goes on with what an upstream of this
+    /// version has begun.
+    pub version: Option<&'a Version>,
     /// Latency objective of an online request.
     pub objective: Millis,
 }
@@ -31,6 +34,7 @@
 pub struct Pick {
     pub upstream: Upstream,
     pub address: SocketAddr,
+    pub version: Version,
     pub class: Class,
     /// Requests in flight at the upstream when it was chosen, this one excluded.
     pub load: u32,
--- a/serving/src/batch/owner/items.rs
+++ b/serving/src/batch/owner/items.rs
@@ -105,7 +105,8 @@
             }
         };
         let context = &self.dependencies.context;
-        let Ok(permit) = context.choose(service, Class::Batch, &BTreeSet::new(), Millis(0)) else {
+        let Ok(permit) = context.choose(service, Class::Batch, &BTreeSet::new(), None, Millis(0))
+        else {
             return false;
         };
         let (pause, paused) = oneshot::channel();
--- a/serving/src/exchange/driver.rs
+++ b/serving/src/exchange/driver.rs
@@ -11,6 +11,7 @@
 use crate::{
     balance::{Class, Outcome, Refusal},
     catalog::Kind,
+    id::Version,
     quarantine::{Fingerprint, Status},
     time::Millis,
     upstream::{self, Body, Failure},
@@ -104,6 +105,9 @@
     pub(super) trace: Trace,
     fingerprint: Fingerprint,
     status: Status,
+    /// Version of the upstream that brought the first event of a stream, which alone may go on with
+    /// the stream. `None` before the first event.
+    version: Option<Version>,
     /// The run on which the caller's answer depends. `None` until the request is sent, and after a
     /// failed send.
     current: Option<Run>,
@@ -132,6 +136,7 @@
             trace,
             fingerprint,
             status,
+            version: None,
             current: None,
             successor: None,
             held: None,
@@ -253,6 +258,8 @@
                 self.resume_waiting();
                 if is_new {
                     self.trace.record_first_event();
+                    let version = self.current.as_ref().map(|run| run.permit.pick.version.clone());
+                    self.version = self.version.take().or(version);
                 }
                 is_new.then_some(Output::Event(event.bytes))
             }
@@ -391,7 +398,8 @@
     fn choose(&self) -> Result<Permit, Refusal> {
         let objective = self.routed.route.latency_objective;
         let service = &self.routed.service;
-        self.context.choose(service, Class::Online, &self.state.excluded, objective)
+        let version = self.version.as_ref();
+        self.context.choose(service, Class::Online, &self.state.excluded, version, objective)
     }
 
     /// Sends the request to the upstream of `permit`.
--- a/serving/src/exchange/task.rs
+++ b/serving/src/exchange/task.rs
@@ -11,7 +11,7 @@
 use crate::{
     balance::{self, Class, Criteria, Outcome, Pick, Refusal},
     catalog::Route,
-    id::{Service, Workspace},
+    id::{Service, Version, Workspace},
     metrics::Metrics,
     quarantine::{Fingerprint, Quarantine, Status},
     time::{Clock, Millis},
@@ -93,10 +93,12 @@
         service: &Service,
         class: Class,
         excluded: &BTreeSet<crate::id::Upstream>,
+        version: Option<&Version>,
         objective: Millis,
     ) -> Result<Permit, Refusal> {
         let now = self.clock.now();
-        let pick = self.balance().choose(now, Criteria { service, class, excluded, objective })?;
+        let criteria = Criteria { service, class, excluded, version, objective };
+        let pick = self.balance().choose(now, criteria)?;
         Ok(Permit { context: Arc::clone(self), pick, outcome: Outcome::Neutral })
     }
 }
--- a/serving/src/exchange/trace.rs
+++ b/serving/src/exchange/trace.rs
@@ -40,8 +40,8 @@
     pub(super) fn record_send(&mut self, permit: &Permit) {
         let at = self.elapsed();
         self.append_to_sends(format_args!(
-            "{}@{at} load {}",
-            permit.pick.upstream, permit.pick.load
+            "{} {}@{at} load {}",
+            permit.pick.upstream, permit.pick.version, permit.pick.load
         ));
     }
 
--- a/serving/src/fleet.rs
+++ b/serving/src/fleet.rs
@@ -7,7 +7,7 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use crate::{
-    id::{DataCentre, Service, Upstream},
+    id::{DataCentre, Service, Upstream, Version},
     time::Millis,
 };
 
@@ -23,6 +23,7 @@
     pub service: Service,
     pub address: SocketAddr,
     pub data_centre: DataCentre,
+    pub version: Version,
     pub slots: u32,
     pub draining: bool,
     /// Start of the upstream's process in Unix milliseconds, or 0 if unknown.
--- a/serving/src/id.rs
+++ b/serving/src/id.rs
@@ -66,6 +66,9 @@
     Workspace;
     /// One backend instance: a replica of a deployment or of a plain service.
     Upstream;
+    /// Software version of an upstream. Versions have no order, and what upstreams of two versions
+    /// write doesn't fit together.
+    Version;
     /// A group of interchangeable upstreams that serve one model.
     Deployment;
     /// A plain service, or the name by which callers address one.
--- a/serving/tests/balance.rs
+++ b/serving/tests/balance.rs
@@ -29,6 +29,7 @@
         service: Service::from("model"),
         address: format!("10.0.0.{}:80", index + 1).parse().unwrap(),
         data_centre: DataCentre::from(if index.is_multiple_of(2) { "here" } else { "there" }),
+        version: "v1".into(),
         slots: SLOTS,
         draining: false,
         started: 1,
@@ -44,11 +45,10 @@
 
 fn choose(state: &mut State, now: u64, class: Class) -> Result<Pick, Refusal> {
     let service = Service::from("model");
-    let objective = Millis(300);
-    state.choose(
-        Millis(now),
-        Criteria { service: &service, class, excluded: &BTreeSet::new(), objective },
-    )
+    let (excluded, objective) = (BTreeSet::new(), Millis(300));
+    let criteria =
+        Criteria { service: &service, class, excluded: &excluded, version: None, objective };
+    state.choose(Millis(now), criteria)
 }
 
 fn update_loads(state: &mut State, now: u64, vm: &str, loads: &[(usize, u32)]) {
@@ -126,6 +126,31 @@
     }
 }
 
+/// A stream must not go on at an upstream of another version, however much room it has.
+#[test]
+fn request_that_needs_a_version_goes_to_no_other_one() {
+    let mut entries = fleet(4);
+    for index in 2..4 {
+        entries.get_mut(&upstream(index)).unwrap().version = "v2".into();
+    }
+    let mut state = state(4);
+    state.replace(&entries);
+    update_loads(&mut state, 0, "other", &[(0, 5), (1, 6)]);
+    let (service, version, excluded) = ("model".into(), "v1".into(), BTreeSet::new());
+    let criteria = Criteria {
+        service: &service,
+        class: Class::Online,
+        excluded: &excluded,
+        version: Some(&version),
+        objective: Millis(300),
+    };
+    let pick = state.choose(Millis(0), criteria).unwrap();
+    assert_eq!((pick.upstream, pick.version), (upstream(0), "v1".into()));
+    let unknown = "v3".into();
+    let refusal = state.choose(Millis(0), Criteria { version: Some(&unknown), ..criteria });
+    assert!(matches!(refusal, Err(Refusal::NoUpstream { .. })), "{refusal:?}");
+}
+
 #[test]
 fn failed_upstream_is_avoided_unless_it_is_the_only_one() {
     let mut state = state(2);
@@ -283,6 +308,7 @@
                 service: &service,
                 class: Class::Online,
                 excluded: &excluded,
+                version: None,
                 objective,
             };
             let pick = state.choose(Millis(now), criteria).unwrap();
--- a/serving/tests/fleet.rs
+++ b/serving/tests/fleet.rs
@@ -14,6 +14,7 @@
         service: "model".into(),
         address: "10.0.0.1:80".parse().unwrap(),
         data_centre: "here".into(),
+        version: "v1".into(),
         slots: 8,
         draining,
         started,
--- a/standins/src/emulator/fleet.rs
+++ b/standins/src/emulator/fleet.rs
@@ -66,6 +66,7 @@
         let service = Service::from("model");
         let place = |index: usize| DataCentre(format!("dc-{}", index % scenario.data_centres));
         let entry = |index: usize| Entry {
+            version: "v1".into(),
             service: service.clone(),
             address: ([10, 0, (index >> 8) as u8, index as u8], 80).into(),
             data_centre: place(index),
@@ -191,7 +192,13 @@
         let objective = Millis(self.scenario.online.objective_ms);
         let excluded = BTreeSet::new();
         let class = Class::Online;
-        let criteria = Criteria { service: &self.service, class, excluded: &excluded, objective };
+        let criteria = Criteria {
+            service: &self.service,
+            class,
+            excluded: &excluded,
+            version: None,
+            objective,
+        };
         let chosen = match away {
             true => Err(Millis(1_000)),
             false => self.nodes[node].balance.choose(Millis(now), criteria).map_err(|refusal| {
@@ -297,8 +304,13 @@
         for entry in &waiting[..count] {
             let class = Class::Batch;
             let (excluded, objective) = (BTreeSet::new(), Millis(0));
-            let criteria =
-                Criteria { service: &self.service, class, excluded: &excluded, objective };
+            let criteria = Criteria {
+                service: &self.service,
+                class,
+                excluded: &excluded,
+                version: None,
+                objective,
+            };
             let Ok(pick) = self.nodes[node].balance.choose(Millis(now), criteria) else { break };
             let index = entry.item.index as usize;
             let engine = self.index[&pick.upstream];
