fix(batch): continue an item only at the software that began it

Cause: the progress of an item, in memory and in the log, did not say which software had sent it, and the next run went to the upstream with the most room.

Change: progress names the service and the version of its upstream. The next run goes there. If no upstream of that software is left, or if it has had no free slot for 2 s while others have, the item starts over; an item that waits for its version does not hold up the items behind it. A record without the software can't be decoded, so that its item starts over, and an older node ignores the new field.

--- a/serving/src/batch/ledger/job.rs
+++ b/serving/src/batch/ledger/job.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{id::Job as JobId, time::Millis};
+use crate::{fleet::Software, id::Job as JobId, time::Millis};
 
 use super::super::record::{Head, Outcome};
 
@@ -22,6 +22,14 @@
     pub events: u64,
     /// Id of the last event, if events have ids.
     pub last_event: Option<u64>,
+    /// What the upstream ran that sent the output. Another software can't continue it.
+    pub software: Option<Software>,
+}
+
+impl Progress {
+    pub fn is_empty(&self) -> bool {
+        self.events == 0 && self.last_event.is_none()
+    }
 }
 
 /// Processing stage of an item.
@@ -31,6 +39,8 @@
     Waiting {
         progress: Progress,
         not_before: Millis,
+        /// When the item began to wait.
+        since: Millis,
     },
     Running,
     /// The result of the item is decided.
@@ -71,7 +81,11 @@
 impl Job {
     pub(super) fn new(head: Head, due: Millis, head_chunks: usize) -> Job {
         let tracked = TrackedItem {
-            stage: Stage::Waiting { progress: Progress::default(), not_before: Millis(0) },
+            stage: Stage::Waiting {
+                progress: Progress::default(),
+                not_before: Millis(0),
+                since: Millis(0),
+            },
             failures: 0,
             saved: false,
         };
@@ -96,11 +110,11 @@
     }
 
     /// Restores the progress of an item that an earlier owner has saved.
-    pub(super) fn restore_progress(&mut self, item: u32, progress: Progress) {
+    pub(super) fn restore_progress(&mut self, item: u32, progress: Progress, now: Millis) {
         let Some(tracked) = self.items.get_mut(item as usize) else { return };
         tracked.saved = true;
-        if let Stage::Waiting { progress: stored, .. } = &mut tracked.stage {
-            *stored = progress;
+        if let Stage::Waiting { progress: stored, since, .. } = &mut tracked.stage {
+            (*stored, *since) = (progress, now);
         }
     }
 
--- a/serving/src/batch/ledger/mod.rs
+++ b/serving/src/batch/ledger/mod.rs
@@ -126,6 +126,15 @@
         }
     }
 
+    /// The progress of a waiting item and the time for which the item has waited; `None` for items
+    /// that don't wait.
+    pub fn waiting_progress(&self, now: Millis, item: &ItemId) -> Option<(&Progress, Millis)> {
+        match &self.jobs.get(&item.job)?.items[item.index as usize].stage {
+            Stage::Waiting { progress, since, .. } => Some((progress, now - *since)),
+            Stage::Running | Stage::Done => None,
+        }
+    }
+
     pub fn has_ready(&self) -> bool {
         !self.ready.is_empty()
     }
@@ -214,11 +223,11 @@
             RunEnd::Interrupted => (None, progress, now),
         };
         if job.cancelled {
-            tracked.stage = Stage::Waiting { progress, not_before };
+            tracked.stage = Stage::Waiting { progress, not_before, since: now };
             return Vec::new();
         }
         let Some(state) = state else {
-            tracked.stage = Stage::Waiting { progress, not_before };
+            tracked.stage = Stage::Waiting { progress, not_before, since: now };
             self.ready.insert((job.due, item.clone()));
             return Vec::new();
         };
--- a/serving/src/batch/ledger/restore.rs
+++ b/serving/src/batch/ledger/restore.rs
@@ -79,7 +79,7 @@
                 job.finish_item(outcome);
             }
             for (item, progress) in progress.remove(&id).unwrap_or_default() {
-                job.restore_progress(item, progress);
+                job.restore_progress(item, progress, now);
             }
             job.listed = job.results.len();
             job.cancelled = cancelled.contains(&id);
--- a/serving/src/batch/owner/items.rs
+++ b/serving/src/batch/owner/items.rs
@@ -8,14 +8,17 @@
 use tokio::{sync::oneshot, time::Instant};
 
 use crate::{
-    balance::Class,
-    id::{Service, Upstream},
+    balance::{Class, Refusal},
+    catalog::Route,
+    exchange::Permit,
+    fleet::Software,
+    id::{Service, Upstream, Version},
     time::Millis,
 };
 
 use super::{
     super::{
-        ledger::{ItemId, RunEnd},
+        ledger::{ItemId, Progress, RunEnd},
         order::{Urgency, WaitingItem},
         run::{self, FinishedRun, Run},
         schedule,
@@ -24,6 +27,19 @@
     writes::Effect,
 };
 
+/// Maximum time that an item waits for a slot at the software that began it while other software
+/// has free slots.
+const RESUME_PATIENCE: Millis = Millis(2_000);
+
+/// Whether an item was started.
+enum Start {
+    Started,
+    /// No upstream has a free slot.
+    NoSlot,
+    /// No upstream of the software that began the item has a free slot.
+    NoSlotAtVersion,
+}
+
 /// A running item.
 pub(super) struct Running {
     upstream: Upstream,
@@ -60,33 +76,50 @@
             let job = self.ledger.job(&entry.item.job);
             match job.and_then(|job| self.find_route(&job.head)) {
                 Some(route) if self.releasing.is_none() => {
-                    let service = route.select_service(rand::random()).clone();
+                    let service = self.select_service(&entry.item, &route);
                     services.entry(service).or_default().push(entry);
                 }
                 Some(_) | None => not_started.push(entry),
             }
         }
-        for (service, mut waiting) in services {
+        for (service, waiting) in services {
             let free_slots = self.free_batch_slots(&service);
             let quota = self.dependencies.coordinator.directory.quota();
             let ahead = |urgency| quota.count_ahead(self.partition.number, urgency);
-            let mut count = schedule::count_starts(&waiting, free_slots, ahead);
+            let count = schedule::count_starts(&waiting, free_slots, ahead);
             drop(quota);
-            if let Some(refused) = waiting[..count]
-                .iter()
-                .position(|entry| !self.start_item(entry.item.clone(), &service))
-            {
-                count = refused;
+            let mut waiting = waiting.into_iter();
+            for entry in waiting.by_ref().take(count) {
+                match self.start_item(entry.item.clone(), &service) {
+                    Start::Started => {}
+                    Start::NoSlotAtVersion => not_started.push(entry),
+                    Start::NoSlot => {
+                        not_started.push(entry);
+                        break;
+                    }
+                }
             }
-            not_started.extend(waiting.drain(count..));
+            not_started.extend(waiting);
         }
         not_started.sort();
         self.report_waiting(&not_started);
     }
 
-    /// Starts an item. Returns false if no upstream has a free slot for the item.
-    fn start_item(&mut self, item: ItemId, service: &Service) -> bool {
-        let Some(job) = self.ledger.job(&item.job) else { return true };
+    /// The service that began an item, if its route still has that one, else one by weight.
+    fn select_service(&self, item: &ItemId, route: &Route) -> Service {
+        let progress = self.ledger.waiting_progress(Millis(0), item);
+        let begun = progress.and_then(|(progress, _)| progress.software.as_ref());
+        let shares = route.split.iter().filter(|share| share.weight > 0);
+        let mut services = shares.map(|share| &share.service);
+        match begun.and_then(|software| services.find(|service| **service == software.service)) {
+            Some(service) => service.clone(),
+            None => route.select_service(rand::random()).clone(),
+        }
+    }
+
+    /// Starts an item if an upstream has a free slot for it.
+    fn start_item(&mut self, item: ItemId, service: &Service) -> Start {
+        let Some(job) = self.ledger.job(&item.job) else { return Start::Started };
         let entry = &job.head.items[item.index as usize];
         let request = match run::request(&job.head.host, entry) {
             Ok(request) => request,
@@ -101,20 +134,25 @@
                     events,
                     span,
                 });
-                return true;
+                return Start::Started;
             }
         };
-        let context = &self.dependencies.context;
-        let Ok(permit) = context.choose(service, Class::Batch, &BTreeSet::new(), None, Millis(0))
-        else {
-            return false;
+        let (permit, continues) = match self.choose(&item, service) {
+            Ok(chosen) => chosen,
+            Err(reason) => return reason,
         };
+        let mut progress = self.ledger.start(&item);
+        if !continues {
+            let version = permit.pick.version.clone();
+            let software = Some(Software { service: service.clone(), version });
+            progress = Progress { software, ..Progress::default() };
+        }
         let (pause, paused) = oneshot::channel();
         let upstream = permit.pick.upstream.clone();
         self.running.insert(item.clone(), Running { upstream, pause: Some(pause) });
         let run = Run {
-            context: Arc::clone(context),
-            progress: self.ledger.start(&item),
+            context: Arc::clone(&self.dependencies.context),
+            progress,
             id: item,
             request,
             permit,
@@ -123,7 +161,39 @@
             progress_tx: self.progress_tx.clone(),
         };
         self.runs.spawn(run.run());
-        true
+        Start::Started
+    }
+
+    /// Chooses the upstream for an item. Returns whether the run continues the item's progress; the
+    /// item starts over if no upstream of the software that began it is left, or has had a free
+    /// slot for `RESUME_PATIENCE`.
+    fn choose(&self, item: &ItemId, service: &Service) -> Result<(Permit, bool), Start> {
+        let context = &self.dependencies.context;
+        let choose = |version: Option<&Version>| {
+            context.choose(service, Class::Batch, &BTreeSet::new(), version, Millis(0))
+        };
+        let waiting = self.ledger.waiting_progress(context.clock.now(), item);
+        let begun = waiting.filter(|(progress, _)| !progress.is_empty());
+        let Some((progress, waited)) = begun else {
+            return choose(None).map(|permit| (permit, false)).map_err(|_| Start::NoSlot);
+        };
+        let software = progress.software.as_ref().filter(|begun| begun.service == *service);
+        if let Some(software) = software {
+            match choose(Some(&software.version)) {
+                Ok(permit) => return Ok((permit, true)),
+                Err(Refusal::Full { .. }) if waited < RESUME_PATIENCE => {
+                    return Err(Start::NoSlotAtVersion);
+                }
+                Err(_) => {}
+            }
+        }
+        let permit = choose(None).map_err(|_| Start::NoSlot)?;
+        log::info!(
+            job = item.job.0.as_str(), item = item.index, events = progress.events,
+            begun:? = progress.software, version = permit.pick.version.0.as_str(), waited = waited.0;
+            "item starts over: its software has no free slot"
+        );
+        Ok((permit, false))
     }
 
     /// Number of items that all owners together may start now.
--- a/serving/src/batch/run.rs
+++ b/serving/src/batch/run.rs
@@ -93,7 +93,8 @@
         let ms = self.context.clock.now() - started_at;
         log::info!(
             job = self.id.job.0.as_str(), item = self.request.id.as_str(),
-            upstream = self.permit.pick.upstream.0.as_str(), load = self.permit.pick.load,
+            upstream = self.permit.pick.upstream.0.as_str(),
+            version = self.permit.pick.version.0.as_str(), load = self.permit.pick.load,
             resumed_after:? = resume_after, events = self.progress.events, ms = ms.0, outcome:? = end,
             why = reason.as_str();
             "run of an item ended"
--- a/serving/src/fleet.rs
+++ b/serving/src/fleet.rs
@@ -4,7 +4,9 @@
 //! registry. Entries may expire during the outage although their upstreams run, and return as soon
 //! as these reach the registry again.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{collections::BTreeMap, fmt, net::SocketAddr};
+
+use serde::{Deserialize, Serialize};
 
 use crate::{
     id::{DataCentre, Service, Upstream, Version},
@@ -17,6 +19,20 @@
 /// Minimum time without an answer of the registry that counts as an outage.
 const MIN_OUTAGE: Millis = Millis(1_500);
 
+/// The software that an upstream runs. What upstreams of different software write doesn't fit
+/// together.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Software {
+    pub service: Service,
+    pub version: Version,
+}
+
+impl fmt::Display for Software {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.service, self.version)
+    }
+}
+
 /// One upstream as it registered itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Entry {
--- a/serving/tests/ledger.rs
+++ b/serving/tests/ledger.rs
@@ -12,6 +12,7 @@
         record::{Head, Item, State},
     },
     catalog::{Catalog, Kind, Limits, Route, Share},
+    fleet::Software,
     id::Job as JobId,
     log_store::Record,
     time::Millis,
@@ -58,7 +59,8 @@
 }
 
 fn progress(events: u64) -> Progress {
-    Progress { output: b"text".to_vec(), events, last_event: Some(events) }
+    let software = Some(Software { service: "model".into(), version: "v1".into() });
+    Progress { output: b"text".to_vec(), events, last_event: Some(events), software }
 }
 
 /// Starts an item, ends its run after three events, and returns the records of its result.
@@ -182,6 +184,18 @@
     assert_eq!(order, ["early", "late"]);
 }
 
+/// Progress from before records named the software must not be continued by chance: the next owner
+/// doesn't know which upstreams can.
+#[test]
+fn progress_without_its_software_is_not_continued() {
+    let (mut ledger, mut records) = accepted_ledger(1);
+    run_item(&mut ledger, 0, &RunEnd::Interrupted, 3);
+    let saved = ledger.save_progress(&item(0), &progress(3)).unwrap();
+    let old_format = postcard::to_stdvec(&(b"text".to_vec(), 3u64, Some(3u64))).unwrap();
+    records.push(Record { value: Some(old_format.into()), ..saved });
+    assert_eq!(restore(&records).start(&item(0)), Progress::default());
+}
+
 #[test]
 fn next_owner_resumes_from_saved_progress() {
     let (mut ledger, mut records) = accepted_ledger(2);
