fix(exchange): resume a caller's stream only at the software that began it

Cause: a resume was treated as a new request with `Last-Event-Id`; `Resumes` was forwarded and not read, and no node knew which software had begun a stream.

Change: a node records the software of each stream that it sends on a resumable route and announces it with its gossip, three times. A resume goes to that service and version only. A node that doesn't know the software asks the others on the next internal port; if nobody knows it, the resume is refused as not run, unless the service has had a single version for the timeout of the route, gone upstreams included. `request ended` names the request that is resumed, and why it was refused. The news stands behind the fields of the gossip message, where older nodes ignore it.

--- a/serving/src/exchange/driver.rs
+++ b/serving/src/exchange/driver.rs
@@ -20,6 +20,7 @@
 use super::{
     Context, RoutedRequest,
     events::{Event, Splitter},
+    origin,
     state::{self, Action, End, Silence, State},
     task::{Permit, report_crash},
     trace::Trace,
@@ -108,6 +109,7 @@
     /// Version of the upstream that brought the first event of a stream, which alone may go on with
     /// the stream. `None` before the first event.
     version: Option<Version>,
+    origin: origin::Record,
     /// The run on which the caller's answer depends. `None` until the request is sent, and after a
     /// failed send.
     current: Option<Run>,
@@ -125,6 +127,7 @@
     pub(super) fn new(
         context: &Arc<Context>,
         routed: RoutedRequest,
+        version: Option<Version>,
         trace: Trace,
         fingerprint: Fingerprint,
         status: Status,
@@ -136,7 +139,8 @@
             trace,
             fingerprint,
             status,
-            version: None,
+            version,
+            origin: origin::Record::default(),
             current: None,
             successor: None,
             held: None,
@@ -258,8 +262,7 @@
                 self.resume_waiting();
                 if is_new {
                     self.trace.record_first_event();
-                    let version = self.current.as_ref().map(|run| run.permit.pick.version.clone());
-                    self.version = self.version.take().or(version);
+                    self.keep_version();
                 }
                 is_new.then_some(Output::Event(event.bytes))
             }
@@ -406,6 +409,9 @@
     fn send(&mut self, permit: &Permit) -> Sending {
         self.state.record_send();
         self.trace.record_send(permit);
+        if !self.state.has_begun() {
+            self.record_origin(&permit.pick.version);
+        }
         let (context, routed) = (Arc::clone(&self.context), Arc::clone(&self.routed));
         let pick = permit.pick.clone();
         let remaining = (self.state.deadline() - context.clock.now()).duration();
@@ -434,6 +440,20 @@
         })
     }
 
+    /// Keeps the version of the current run, which has brought an event.
+    fn keep_version(&mut self) {
+        let Some(current) = &self.current else { return };
+        if self.version.is_none() {
+            let version = current.permit.pick.version.clone();
+            self.record_origin(&version);
+            self.version = Some(version);
+        }
+    }
+
+    fn record_origin(&mut self, version: &Version) {
+        self.origin.update(&self.context, &self.routed, version, self.state.deadline());
+    }
+
     /// Replaces the current run.
     fn set_current(&mut self, permit: Permit, source: Source) {
         self.current = Some(Run { permit, source, is_silent: false });
--- a/serving/src/exchange/mod.rs
+++ b/serving/src/exchange/mod.rs
@@ -3,12 +3,14 @@
 //! * `state` decides after each failure whether the request is sent again, resumed or ended.
 //! * `driver` executes these decisions: it sends the request and waits for answers.
 //! * `events` splits a stream of bytes into server-sent events.
+//! * `origin` selects the software that may go on with a stream, and records what begins one.
 //! * `task` starts the driver of a request, and `relay` forwards the events of a stream to the
 //!   caller.
 //! * `trace` writes one log line for each request.
 
 mod driver;
 pub mod events;
+mod origin;
 mod relay;
 pub mod state;
 mod task;
--- a/serving/src/exchange/task.rs
+++ b/serving/src/exchange/task.rs
@@ -11,8 +11,10 @@
 use crate::{
     balance::{self, Class, Criteria, Outcome, Pick, Refusal},
     catalog::Route,
+    fleet,
     id::{Service, Version, Workspace},
     metrics::Metrics,
+    origins::Origins,
     quarantine::{Fingerprint, Quarantine, Status},
     time::{Clock, Millis},
     upstream::{Codec, Failure, Pool, Request},
@@ -20,6 +22,7 @@
 
 use super::{
     driver::{Driver, Output},
+    origin,
     relay::{Relay, Truncated},
     state::{self, End},
     trace::Trace,
@@ -35,6 +38,8 @@
     pub clock: Clock,
     pub balance: Mutex<balance::State>,
     pub quarantine: Mutex<Quarantine>,
+    pub fleet: Arc<Mutex<fleet::State>>,
+    pub origins: Arc<Origins>,
     pub pool: Arc<Pool>,
     pub codec: Arc<dyn Codec>,
     pub metrics: Arc<Metrics>,
@@ -55,6 +60,8 @@
     pub caller_timeout: Option<Millis>,
     /// Event after which the caller resumes a stream.
     pub last_event: Option<u64>,
+    /// Id of the request that brought the first event of the stream that the caller resumes.
+    pub resumes: Option<String>,
 }
 
 /// Result of a request for its caller.
@@ -128,7 +135,16 @@
         trace.finish("quarantined", "the request has crashed upstreams");
         return Answer::Refused { retry_after: QUARANTINE_RETRY_AFTER };
     }
-    let mut driver = Driver::new(context, routed, trace, fingerprint, status);
+    let mut routed = routed;
+    let version = match origin::select_software(context, &mut routed).await {
+        Ok(version) => version,
+        Err(error) => {
+            trace.finish("refused", &error.to_string());
+            let retry_after = context.balance().retry_after();
+            return Answer::Refused { retry_after };
+        }
+    };
+    let mut driver = Driver::new(context, routed, version, trace, fingerprint, status);
     match driver.next().await {
         Output::Answer { parts, body } => Answer::Complete { parts, body },
         Output::Head(parts) => {
--- a/serving/src/exchange/trace.rs
+++ b/serving/src/exchange/trace.rs
@@ -14,6 +14,8 @@
     route: String,
     service: String,
     config: u64,
+    /// The request that began the stream which this one resumes, or an empty string.
+    resumes: String,
     arrived: Millis,
     /// Upstream, load and result of each send, with milliseconds since the arrival.
     sends: String,
@@ -30,6 +32,7 @@
             route: routed.route.id.0.clone(),
             service: routed.service.0.clone(),
             config: routed.config_version,
+            resumes: routed.resumes.clone().unwrap_or_default(),
             arrived: routed.arrived,
             sends: String::new(),
             first_event: None,
@@ -97,6 +100,7 @@
             route = self.route.as_str(),
             service = self.service.as_str(),
             config = self.config,
+            resumes = self.resumes.as_str(),
             sends = self.sends.as_str(),
             first_ms = self.first_event.map_or(-1, |first| first.0 as i64),
             ms = elapsed.0,
--- a/serving/src/fleet.rs
+++ b/serving/src/fleet.rs
@@ -4,7 +4,11 @@
 //! registry. Entries may expire during the outage although their upstreams run, and return as soon
 //! as these reach the registry again.
 
-use std::{collections::BTreeMap, fmt, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fmt,
+    net::SocketAddr,
+};
 
 use serde::{Deserialize, Serialize};
 
@@ -46,6 +50,12 @@
     pub started: u64,
 }
 
+impl Entry {
+    pub fn software(&self) -> Software {
+        Software { service: self.service.clone(), version: self.version.clone() }
+    }
+}
+
 /// A change of the fleet that load balancing and the connection pool must apply.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -80,6 +90,11 @@
     last_answer: Option<Millis>,
     /// End of the grace period. An entry that disappears before this time is kept until then.
     grace_until: Millis,
+    /// Time since which no change of the registry was missed.
+    followed_since: Option<Millis>,
+    /// When the last upstream of a software disappeared or changed to another one. Includes
+    /// software that other upstreams still run.
+    departed: BTreeMap<Software, Millis>,
 }
 
 impl State {
@@ -96,10 +111,35 @@
         self.last_answer = Some(now);
     }
 
+    /// The version of all upstreams that `service` has had for `lifetime`. `None` if there were
+    /// several or none, or if the registry has not been followed for that long.
+    pub fn only_version(
+        &self,
+        now: Millis,
+        service: &Service,
+        lifetime: Millis,
+    ) -> Option<Version> {
+        if self.followed_since.is_none_or(|since| now - since < lifetime) {
+            return None;
+        }
+        let present = self.entries.values().map(Entry::software);
+        let recent = self.departed.iter().filter(|(_, at)| now - **at < lifetime);
+        let versions: BTreeSet<Version> = present
+            .chain(recent.map(|(software, _)| software.clone()))
+            .filter(|software| software.service == *service)
+            .map(|software| software.version)
+            .collect();
+        let mut versions = versions.into_iter();
+        versions.next().filter(|_| versions.next().is_none())
+    }
+
     /// Adds or updates the entry of an upstream.
-    pub fn upsert(&mut self, upstream: Upstream, entry: Entry) -> Option<Change> {
+    pub fn upsert(&mut self, now: Millis, upstream: Upstream, entry: Entry) -> Option<Change> {
         self.missing_until.remove(&upstream);
         let previous = self.entries.insert(upstream.clone(), entry.clone());
+        if let Some(previous) = &previous {
+            self.departed.insert(previous.software(), now);
+        }
         match previous {
             None => Some(Change::Added(upstream)),
             Some(previous)
@@ -124,18 +164,21 @@
             return None;
         }
         self.missing_until.remove(upstream);
-        self.entries.remove(upstream).map(|_| Change::Gone(upstream.clone()))
+        let removed = self.entries.remove(upstream)?;
+        self.departed.insert(removed.software(), now);
+        Some(Change::Gone(upstream.clone()))
     }
 
     /// Replaces all entries by those of a full read of the registry. Entries that aren't in `seen`
     /// count as removed.
     pub fn replace(&mut self, now: Millis, seen: BTreeMap<Upstream, Entry>) -> Vec<Change> {
+        self.followed_since = Some(now);
         let removed: Vec<Upstream> =
             self.entries.keys().filter(|id| !seen.contains_key(*id)).cloned().collect();
         let mut changes: Vec<Change> =
             removed.iter().filter_map(|upstream| self.remove(now, upstream)).collect();
-        changes
-            .extend(seen.into_iter().filter_map(|(upstream, entry)| self.upsert(upstream, entry)));
+        let upsert = |(upstream, entry)| self.upsert(now, upstream, entry);
+        changes.extend(seen.into_iter().filter_map(upsert));
         changes
     }
 
@@ -150,7 +193,8 @@
         let mut gone = Vec::new();
         for upstream in due {
             self.missing_until.remove(&upstream);
-            if self.entries.remove(&upstream).is_some() {
+            if let Some(removed) = self.entries.remove(&upstream) {
+                self.departed.insert(removed.software(), now);
                 gone.push(Change::Gone(upstream));
             }
         }
--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod log_store;
 pub mod metrics;
 pub mod node;
+pub mod origins;
 pub mod peers;
 
 pub mod quarantine;
--- a/serving/src/node.rs
+++ b/serving/src/node.rs
@@ -15,6 +15,7 @@
     fleet::Change,
     id::{DataCentre, Upstream, Vm},
     metrics::Metrics,
+    origins::Origins,
     quarantine::Quarantine,
     time::{Clock, Millis},
     upstream,
@@ -46,7 +47,6 @@
     pub identity: Identity,
     pub exchange: Arc<exchange::Context>,
     pub catalog: catalog::Handle,
-    fleet: Mutex<fleet::State>,
     draining: AtomicBool,
 }
 
@@ -60,8 +60,11 @@
     ) -> Node {
         let data_centre = identity.data_centre.clone();
         let balance = balance::State::new(settings.balance, data_centre, identity.seed);
+        let fleet = Arc::new(Mutex::<fleet::State>::default());
         let exchange = exchange::Context {
+            origins: Arc::new(Origins::new(clock.clone(), Arc::clone(&fleet))),
             clock,
+            fleet,
             balance: Mutex::new(balance),
             quarantine: Mutex::new(Quarantine::new(QUARANTINE_RETENTION)),
             pool: Arc::new(upstream::Pool::new(settings.pool)),
@@ -72,7 +75,6 @@
             identity,
             exchange: Arc::new(exchange),
             catalog: catalog::Handle::default(),
-            fleet: Mutex::default(),
             draining: AtomicBool::new(false),
         }
     }
@@ -93,21 +95,21 @@
     /// Records that the registry was read successfully. Must be called before the changes from that
     /// read are applied.
     pub fn record_registry_read(&self) {
-        lock(&self.fleet).record_registry_read(self.exchange.clock.now());
+        lock(&self.exchange.fleet).record_registry_read(self.exchange.clock.now());
     }
 
     /// Replaces the fleet by `entries`, the complete contents of the registry.
     pub fn replace_fleet(&self, entries: BTreeMap<Upstream, fleet::Entry>) {
-        let changes = lock(&self.fleet).replace(self.exchange.clock.now(), entries);
+        let changes = lock(&self.exchange.fleet).replace(self.exchange.clock.now(), entries);
         self.apply_changes(&changes);
     }
 
     /// Applies changes of the registry in order: `None` removes the entry of an upstream.
     pub fn update_fleet(&self, entries: Vec<(Upstream, Option<fleet::Entry>)>) {
         let now = self.exchange.clock.now();
-        let mut fleet = lock(&self.fleet);
+        let mut fleet = lock(&self.exchange.fleet);
         let change = |(upstream, entry)| match entry {
-            Some(entry) => fleet.upsert(upstream, entry),
+            Some(entry) => fleet.upsert(now, upstream, entry),
             None => fleet.remove(now, &upstream),
         };
         let changes: Vec<Change> = entries.into_iter().filter_map(change).collect();
@@ -117,7 +119,7 @@
 
     /// Removes expired upstreams and closes expired connections. Must be called periodically.
     pub fn tick(&self) {
-        let expired = lock(&self.fleet).expire(self.exchange.clock.now());
+        let expired = lock(&self.exchange.fleet).expire(self.exchange.clock.now());
         self.apply_changes(&expired);
         self.exchange.pool.close_expired();
     }
@@ -125,7 +127,9 @@
     /// Whether the node is ready for new callers: it has a configuration and at least one upstream,
     /// and is not draining.
     pub fn is_ready(&self) -> bool {
-        !self.is_draining() && self.catalog().is_some() && !lock(&self.fleet).entries().is_empty()
+        !self.is_draining()
+            && self.catalog().is_some()
+            && !lock(&self.exchange.fleet).entries().is_empty()
     }
 
     pub fn is_draining(&self) -> bool {
@@ -143,7 +147,7 @@
         if changes.is_empty() {
             return;
         }
-        let fleet = lock(&self.fleet);
+        let fleet = lock(&self.exchange.fleet);
         let mut balance = self.exchange.balance();
         for change in changes {
             match fleet.entries().get(change.upstream()) {
--- /dev/null
+++ b/serving/src/origins/mod.rs
@@ -0,0 +1,16 @@
+//! Which software began each stream, so that a stream is resumed only there.
+//!
+//! A node announces the software of the streams that it sends with its gossip, so that the other
+//! nodes know it when the node is gone. A node that doesn't know it asks the others.
+//!
+//! * `state` holds what is known and what to announce.
+//! * `message` are the questions that nodes ask each other, and the replies.
+//! * `task` asks and replies.
+
+mod message;
+mod state;
+mod task;
+
+pub use message::{Datagram, Result};
+pub use state::{Announcement, Digest, News, Origin, State};
+pub use task::{Origins, run};
--- a/serving/src/peers/message.rs
+++ b/serving/src/peers/message.rs
@@ -8,6 +8,7 @@
     balance::{Digest, Loads},
     batch::quota::Report,
     id::{Incarnation, Vm},
+    origins::News,
     quarantine::Suspect,
     time::Millis,
 };
@@ -36,14 +37,24 @@
     pub suspects: Vec<Suspect>,
     /// The node is shutting down; receivers remove it from their peers.
     pub leaving: bool,
+    /// Origins of streams that the node has begun. Encoded after the other fields, where older
+    /// nodes ignore it.
+    #[serde(skip)]
+    pub news: News,
 }
 
 impl Message {
     pub fn encode(&self) -> Result<Vec<u8>> {
-        postcard::to_stdvec(self)
+        let mut bytes = postcard::to_stdvec(self)?;
+        bytes.extend(postcard::to_stdvec(&self.news)?);
+        Ok(bytes)
     }
 
     pub fn decode(bytes: &[u8]) -> Result<Message> {
-        postcard::from_bytes(bytes)
+        let (mut message, rest): (Message, &[u8]) = postcard::take_from_bytes(bytes)?;
+        if !rest.is_empty() {
+            message.news = postcard::from_bytes(rest)?;
+        }
+        Ok(message)
     }
 }
--- a/serving/src/peers/task.rs
+++ b/serving/src/peers/task.rs
@@ -62,11 +62,14 @@
             peers,
             suspects: self.context.quarantine().most_crashes(now, MAX_SUSPECTS),
             leaving: false,
+            news: self.context.origins.state().take_news(now),
         }
     }
 
     fn handle_message(&self, message: Message) {
         let now = self.context.clock.now();
+        // News stays true however late it arrives.
+        self.context.origins.state().merge(now, message.news.clone());
         if !self.state().handle_message(now, &message) {
             return;
         }
--- a/serving/tests/jobs.rs
+++ b/serving/tests/jobs.rs
@@ -22,6 +22,7 @@
     id::Job as JobId,
     log_store::{Partition, Producer, Store},
     metrics::Metrics,
+    origins::Origins,
     quarantine::Quarantine,
     time::{Clock, Millis},
     upstream::{self, Codec, Options, Pool, Request},
@@ -88,8 +89,11 @@
 impl Node {
     fn start(log: &Log, index: u8, quota: u64) -> Node {
         let log = log.view();
+        let (clock, fleet) = (Clock::default(), Arc::default());
         let context = Context {
-            clock: Clock::default(),
+            origins: Arc::new(Origins::new(clock.clone(), Arc::clone(&fleet))),
+            clock,
+            fleet,
             balance: Mutex::new(balance::State::new(
                 balance::Settings::default(),
                 "here".into(),
--- a/serving/tests/peers.rs
+++ b/serving/tests/peers.rs
@@ -7,7 +7,9 @@
 
 use serving::{
     batch::quota::Report,
+    fleet::Software,
     id::Incarnation,
+    origins::{Announcement, Digest, News},
     peers::{Message, Settings, State},
     time::Millis,
 };
@@ -32,6 +34,7 @@
         peers: vec![address(9), address(1)],
         suspects: Vec::new(),
         leaving: false,
+        news: News::default(),
     }
 }
 
@@ -41,6 +44,30 @@
     assert_eq!(Message::decode(&message.encode().unwrap()).unwrap(), message);
 }
 
+#[test]
+fn news_round_trips_through_encoding() {
+    let software = Software { service: "model".into(), version: "v1".into() };
+    let origin = Announcement {
+        request: Digest::of("r1"),
+        software: 0,
+        revision: 1,
+        remaining: Millis(4_000),
+    };
+    let news = News { software: vec![software], origins: vec![origin] };
+    let message = Message { news, ..message(2, 1, 1) };
+    assert_eq!(Message::decode(&message.encode().unwrap()).unwrap(), message);
+}
+
+/// Nodes of two releases exchange their loads during an upgrade, though only one of them sends news.
+#[test]
+fn message_of_an_older_node_has_no_news() {
+    let message = message(2, 1, 1);
+    let old_format = postcard::to_stdvec(&message).unwrap();
+    assert_eq!(Message::decode(&old_format).unwrap(), message);
+    let new_format = message.encode().unwrap();
+    assert_eq!(postcard::from_bytes::<Message>(&new_format).unwrap(), message);
+}
+
 #[test]
 fn outdated_messages_are_dropped() {
     let mut state = state();
