fix(exchange): let a node that just started resume streams of the only version

A caller that resumed a stream half a second after its nodes were killed was refused, although the service had one version: a resume that names no first request was never asked about. Other nodes are now asked for it as well, and one that has followed the registry long enough settles it. The line of a request also says after which event its caller resumes.

--- a/serving/src/exchange/origin.rs
+++ b/serving/src/exchange/origin.rs
@@ -31,7 +31,8 @@
     if !is_resume(routed) {
         return Ok(None);
     }
-    let request = routed.resumes.as_deref().map(Digest::of);
+    // A resume that doesn't name its first request may still go on if there is only one version.
+    let request = Digest::of(routed.resumes.as_deref().unwrap_or_default());
     let services: Vec<&Service> = routed
         .route
         .split
--- a/serving/src/exchange/trace.rs
+++ b/serving/src/exchange/trace.rs
@@ -16,6 +16,8 @@
     config: u64,
     /// The request that began the stream which this one resumes, or an empty string.
     resumes: String,
+    /// Event after which the caller resumes a stream, or 0.
+    last_event: u64,
     arrived: Millis,
     /// Upstream, load and result of each send, with milliseconds since the arrival.
     sends: String,
@@ -33,6 +35,7 @@
             service: routed.service.0.clone(),
             config: routed.config_version,
             resumes: routed.resumes.clone().unwrap_or_default(),
+            last_event: routed.last_event.unwrap_or(0),
             arrived: routed.arrived,
             sends: String::new(),
             first_event: None,
@@ -101,6 +104,7 @@
             service = self.service.as_str(),
             config = self.config,
             resumes = self.resumes.as_str(),
+            last_event = self.last_event,
             sends = self.sends.as_str(),
             first_ms = self.first_event.map_or(-1, |first| first.0 as i64),
             ms = elapsed.0,
--- a/serving/src/origins/task.rs
+++ b/serving/src/origins/task.rs
@@ -63,7 +63,7 @@
     /// knows it. `lifetime` is the time for which a stream can be resumed.
     pub async fn find(
         &self,
-        request: Option<Digest>,
+        request: Digest,
         service: Option<&Service>,
         lifetime: Millis,
     ) -> Option<Software> {
@@ -72,7 +72,7 @@
         }
         let (answer_tx, answer) = oneshot::channel();
         let service = service.cloned().unwrap_or_default();
-        let question = Question { request: request?, service, lifetime, answer_tx };
+        let question = Question { request, service, lifetime, answer_tx };
         if self.question_tx.try_send(question).is_err() {
             log::warn!("too many questions for the origins of streams; a resume is refused");
             return None;
@@ -82,12 +82,12 @@
 
     fn find_here(
         &self,
-        request: Option<Digest>,
+        request: Digest,
         service: Option<&Service>,
         lifetime: Millis,
     ) -> Option<Software> {
         let now = self.clock.now();
-        let known = request.and_then(|request| self.state().find(now, request).cloned());
+        let known = self.state().find(now, request).cloned();
         if let Some(origin) = known {
             return Some(origin.software);
         }
