fix(platform): find jobs whose route was removed

Results of accepted jobs were answered with 404 as soon as a configuration removed the last batch route of their host.

Cause: calls for jobs were recognised only if some route of their host accepts batch jobs.

Evidence: job_stays_readable_after_its_route_was_removed got 404 instead of the results.

Change: the path alone marks a call for a job. Routes still come first, and a job that doesn't exist is still answered with 404.

--- a/serving/src/catalog.rs
+++ b/serving/src/catalog.rs
@@ -133,12 +133,6 @@
         self.routes.get(host)?.iter().find(|route| path.starts_with(&route.prefix))
     }
 
-    /// Whether some route of `host` accepts batch jobs.
-    pub fn has_batch_route(&self, host: &str) -> bool {
-        let Some(routes) = self.routes.get(host) else { return false };
-        routes.iter().any(|route| route.kind == Kind::Batch)
-    }
-
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Route>> {
         self.routes.values().flatten()
     }
