fix(exchange): end a stream as complete only if its relay says so

Cause: the relay gave up on a full buffer at the deadline and dropped its sender, and the body of the response took a dropped sender for the end of the stream. A panic of the relay, or a cut while the buffer was full, would have looked the same.

Change: the relay sends an explicit end. Events that stop without one fail the body, which closes the caller's connection.

--- a/serving/src/exchange/mod.rs
+++ b/serving/src/exchange/mod.rs
@@ -16,6 +16,6 @@
 mod task;
 mod trace;
 
-pub use relay::Truncated;
+pub use relay::{Events, Truncated};
 pub(crate) use task::Permit;
 pub use task::{Answer, Context, RoutedRequest, run};
--- a/serving/src/exchange/task.rs
+++ b/serving/src/exchange/task.rs
@@ -6,7 +6,6 @@
 };
 
 use bytes::Bytes;
-use tokio::sync::mpsc;
 
 use crate::{
     balance::{self, Class, Criteria, Outcome, Pick, Refusal},
@@ -23,13 +22,11 @@
 use super::{
     driver::{Driver, Output},
     origin,
-    relay::{Relay, Truncated},
+    relay::{self, Events},
     state::{self, End},
     trace::Trace,
 };
 
-/// Maximum number of events buffered for a caller that reads slowly.
-const RELAY_BUFFER_EVENTS: usize = 16;
 /// Retry delay sent to the caller of a quarantined request.
 const QUARANTINE_RETRY_AFTER: Millis = Millis(1_000);
 
@@ -72,7 +69,7 @@
     },
     Stream {
         parts: http::response::Parts,
-        events: mpsc::Receiver<Result<Bytes, Truncated>>,
+        events: Events,
     },
     /// No upstream ran the request or will run it.
     Refused {
@@ -148,10 +145,7 @@
     match driver.next().await {
         Output::Answer { parts, body } => Answer::Complete { parts, body },
         Output::Head(parts) => {
-            let (sender, events) = mpsc::channel(RELAY_BUFFER_EVENTS);
-            let relay = Relay { context: Arc::clone(context), driver, sender };
-            tokio::spawn(relay.run());
-            Answer::Stream { parts, events }
+            Answer::Stream { parts, events: relay::start(Arc::clone(context), driver) }
         }
         Output::Ended { end: End::NotRun, retry_after } => Answer::Refused { retry_after },
         Output::Ended { end: End::Timeout, .. } => Answer::Failed { timeout: true },
