fix(batch)!: run an item again however many upstreams crash under it

What callers saw: an item of a job ended as failed with the code `upstream_crashed` although it was sound. Three upstreams had crashed while it ran, as in a burst of crashes of the whole fleet. It was never placed again, with upstreams idle.

Cause: the owner's ledger counted crashes against the item and ended it at `batch.crash_limit` (3). A crash is no evidence against an item of a job: what was accepted is owed until it is answered. In addition, retries after crashes queued up 250 ms behind each other without a limit, so that 200 items whose upstreams crashed together waited for up to 50 s.

Evidence: on the code before, `item_under_which_upstreams_crash_is_granted_again_each_time`, `items_whose_upstreams_crashed_together_are_all_granted_within_the_limit` and `every_open_item_is_granted_again_once_upstreams_no_longer_crash` fail, and with real processes `item_under_which_engines_crashed_is_still_completed` (the engine is killed four times under the same item).

Change: the limit is gone. The delay of the retry doubles with each crash of the item and is at most 4 s, the spacing between items included. Failed runs stay limited by `batch.attempt_limit`. Online requests that crash upstreams are quarantined as before.

--- a/bulrushspread/src/batch/ledger/outcome.rs
+++ b/bulrushspread/src/batch/ledger/outcome.rs
@@ -16,8 +16,11 @@
 
 /// Upper limit of the exponential back-off: the retry delay doubles at most this often.
 const MAX_DOUBLINGS: u32 = 6;
-/// Minimum time between the retries of two items whose upstreams crashed.
+/// Time between the retries of two items whose upstreams crashed, while no retry is delayed beyond
+/// [`CRASH_RETRY_MAX`] by it.
 const CRASH_RETRY_GAP: Millis = Millis(250);
+/// Maximum delay of the retry of an item whose upstream crashed.
+const CRASH_RETRY_MAX: Millis = Millis(4_000);
 
 impl Ledger {
     /// Applies the reported end of a run.
@@ -50,7 +53,10 @@
             RunEnd::Failed { reason } | RunEnd::Unknown { reason } => {
                 self.handle_failure(now, job, item, reason)
             }
-            RunEnd::Crashed { reason } => self.handle_crash(now, job, item, reason),
+            RunEnd::Crashed { reason } => {
+                self.handle_crash(now, job, item, reason);
+                Vec::new()
+            }
         };
         (ReportStatus::Accepted, actions)
     }
@@ -131,16 +137,17 @@
         Vec::new()
     }
 
-    fn handle_crash(&mut self, now: Millis, job: &Job, item: Item, reason: &str) -> Vec<Action> {
+    /// Schedules the retry of an item whose upstream crashed. A crash is no evidence against the
+    /// item, so it runs again however many upstreams have crashed under it.
+    fn handle_crash(&mut self, now: Millis, job: &Job, item: Item, reason: &str) {
         let tally = self.update_tally(job, item, |tally| tally.crashes += 1);
-        if tally.crashes >= self.settings.crash_limit {
-            return self.end_item(job, item, failed_outcome("upstream_crashed", reason));
-        }
-        let soonest = now + Millis(self.settings.retry_delay_ms);
+        log::debug!("batch: item {item} of job {job}: crash {}: {reason}", tally.crashes);
+        let doublings = tally.crashes.saturating_sub(1).min(MAX_DOUBLINGS);
+        let soonest = now + Millis(self.settings.retry_delay_ms << doublings);
         let at = soonest.max(self.last_crash_retry_at + CRASH_RETRY_GAP);
+        let at = at.min(now + CRASH_RETRY_MAX);
         self.last_crash_retry_at = at;
         self.retry_at(at, job, item);
-        Vec::new()
     }
 
     fn update_tally(&mut self, job: &Job, item: Item, change: impl FnOnce(&mut Tally)) -> Tally {
--- a/bulrushspread/src/batch/settings.rs
+++ b/bulrushspread/src/batch/settings.rs
@@ -20,8 +20,6 @@
     pub chunk_bytes: usize,
     /// Runs of an item that may fail before the item fails for good.
     pub attempt_limit: u32,
-    /// Upstreams that may crash while they run an item before the item fails for good.
-    pub crash_limit: u32,
     /// Runners that may be lost with an item before the item fails for good.
     pub loss_limit: u32,
     /// Time limit of one run of an item in milliseconds.
@@ -58,7 +56,6 @@
             line_bytes: 256 << 10,
             chunk_bytes: 256 << 10,
             attempt_limit: 3,
-            crash_limit: 3,
             loss_limit: 20,
             run_timeout_ms: 900_000,
             retry_delay_ms: 500,
