fix(batch): run an item again after the task that ran it panicked

What callers would see: an item without a result that no node runs, however much room there is, until its partition gets another owner. The owner's release of the partition would wait for it in vain as well.

Cause: the owner only logged the failed task. Nothing told which item it had run, so the item stayed running in the ledger and in the owner's table. No input is known that makes a run panic; the code of a run has no `unwrap` or index that one can reach.

Evidence: `item_whose_run_panicked_is_run_again` (a codec that panics at the first request) failed before: no result within 3 s.

Change: each running item keeps the id of its task. After a panic it waits again, from its beginning, since the progress went down with the task.

Result: the test and the other tests of `jobs` pass.

--- a/serving/src/batch/owner/items.rs
+++ b/serving/src/batch/owner/items.rs
@@ -5,7 +5,7 @@
     sync::Arc,
 };
 
-use tokio::{sync::oneshot, time::Instant};
+use tokio::{sync::oneshot, task, time::Instant};
 
 use crate::{
     balance::{Class, Refusal},
@@ -43,6 +43,7 @@
 /// A running item.
 pub(super) struct Running {
     upstream: Upstream,
+    task: task::Id,
     /// Sender that pauses the run; `None` after the pause was sent.
     pub(super) pause: Option<oneshot::Sender<()>>,
 }
@@ -149,18 +150,18 @@
         }
         let (pause, paused) = oneshot::channel();
         let upstream = permit.pick.upstream.clone();
-        self.running.insert(item.clone(), Running { upstream, pause: Some(pause) });
         let run = Run {
             context: Arc::clone(&self.dependencies.context),
             progress,
-            id: item,
+            id: item.clone(),
             request,
             permit,
             settings: self.dependencies.settings.clone(),
             pause: paused,
             progress_tx: self.progress_tx.clone(),
         };
-        self.runs.spawn(run.run());
+        let task = self.runs.spawn(run.run()).id();
+        self.running.insert(item, Running { upstream, task, pause: Some(pause) });
         Start::Started
     }
 
@@ -223,6 +224,20 @@
         }
     }
 
+    /// Lets an item run again from its beginning after the task that ran it has panicked.
+    pub(super) fn handle_panic(&mut self, error: &task::JoinError) {
+        let running = self.running.iter().find(|(_, running)| running.task == error.id());
+        let Some((id, running)) = running else { return };
+        log::error!(job = id.job.0.as_str(), upstream = running.upstream.0.as_str(), error:% = error; "task that runs an item failed");
+        self.finish_run(FinishedRun {
+            id: id.clone(),
+            end: RunEnd::Interrupted,
+            progress: Progress::default(),
+            events: 0,
+            span: Millis(0),
+        });
+    }
+
     /// Applies the end of a run, and writes the item's result if the run decided it.
     pub(super) fn finish_run(&mut self, finished: FinishedRun) {
         let FinishedRun { id, end, progress, events, span } = finished;
--- a/serving/src/batch/owner/mod.rs
+++ b/serving/src/batch/owner/mod.rs
@@ -219,7 +219,7 @@
                 Some(finished) = self.runs.join_next(), if !self.runs.is_empty() => {
                     match finished {
                         Ok(finished) => self.finish_run(finished),
-                        Err(error) => log::error!(error:% = error; "task that runs an item failed"),
+                        Err(error) => self.handle_panic(&error),
                     }
                     self.schedule();
                 }
--- a/serving/tests/jobs.rs
+++ b/serving/tests/jobs.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -19,6 +19,7 @@
     },
     catalog::{self, Catalog, Kind, Limits, Route, Share},
     exchange::Context,
+    fleet::Entry,
     id::Job as JobId,
     log_store::{Partition, Producer, Store},
     metrics::Metrics,
@@ -28,6 +29,10 @@
     upstream::{self, Codec, Options, Pool, Request},
 };
 use standins::keyed_log::{Fault, Log};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+};
 
 const HOST: &str = "a.example";
 const PARTITIONS: u16 = 4;
@@ -44,6 +49,43 @@
     }
 }
 
+/// Panics when the first request is encoded.
+#[derive(Default)]
+struct PanicsOnce {
+    has_panicked: AtomicBool,
+}
+
+impl Codec for PanicsOnce {
+    fn encode(&self, _: &Request, _: Options<'_>) -> HeaderMap {
+        assert!(self.has_panicked.swap(true, Ordering::Relaxed), "the first request");
+        HeaderMap::new()
+    }
+
+    fn decode(&self, _: &http::response::Parts) -> upstream::Head {
+        upstream::Head::default()
+    }
+}
+
+/// Starts an upstream that answers every request with 422.
+async fn start_upstream() -> SocketAddr {
+    const ANSWER: &[u8] = b"HTTP/1.1 422 Unprocessable Entity\r\ncontent-length: 0\r\n\r\n";
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut request = [0; 4_096];
+                while stream.read(&mut request).await.is_ok_and(|length| length > 0) {
+                    if stream.write_all(ANSWER).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
 fn route(quota: u64) -> Route {
     Route {
         id: "batch".into(),
@@ -88,20 +130,40 @@
 
 impl Node {
     fn start(log: &Log, index: u8, quota: u64) -> Node {
+        Node::start_with(log, index, quota, Arc::new(NoHeaders), None)
+    }
+
+    /// Starts a node that runs items at `upstream`, if there is one.
+    fn start_with(
+        log: &Log,
+        index: u8,
+        quota: u64,
+        codec: Arc<dyn Codec>,
+        upstream: Option<SocketAddr>,
+    ) -> Node {
         let log = log.view();
+        let mut balance = balance::State::new(balance::Settings::default(), "here".into(), 1);
+        if let Some(address) = upstream {
+            let entry = Entry {
+                service: "model".into(),
+                address,
+                data_centre: "here".into(),
+                version: "v1".into(),
+                slots: 8,
+                draining: false,
+                started: 1,
+            };
+            balance.upsert(&"engine".into(), &entry);
+        }
         let (clock, fleet) = (Clock::default(), Arc::default());
         let context = Context {
             origins: Arc::new(Origins::new(clock.clone(), Arc::clone(&fleet))),
             clock,
             fleet,
-            balance: Mutex::new(balance::State::new(
-                balance::Settings::default(),
-                "here".into(),
-                1,
-            )),
+            balance: Mutex::new(balance),
             quarantine: Mutex::new(Quarantine::new(Millis(60_000))),
             pool: Arc::new(Pool::new(upstream::Settings::default())),
-            codec: Arc::new(NoHeaders),
+            codec,
             metrics: Arc::new(Metrics::default()),
         };
         let catalog = catalog::Handle::default();
@@ -312,6 +374,18 @@
     assert_eq!((first, second), (Ok(Admission::Durable), Ok(Admission::OverQuota)));
 }
 
+/// Guards against an item that counts as running for ever because the task that ran it panicked.
+#[tokio::test]
+async fn item_whose_run_panicked_is_run_again() {
+    let log = Log::new(PARTITIONS);
+    let address = start_upstream().await;
+    let node = Node::start_with(&log, 1, 0, Arc::new(PanicsOnce::default()), Some(address));
+    let owner = node.owner().await;
+    assert_eq!(owner.submit(job("a"), head(1)).await, Ok(Admission::Durable));
+    let page = owner.read(job("a"), 0, Millis(3_000)).await.unwrap().unwrap();
+    assert_eq!(page.results.len(), 1, "the item was not run again");
+}
+
 #[tokio::test]
 async fn fenced_owner_accepts_nothing() {
     let log = Log::new(PARTITIONS);
