fix(balance): expire the load of lost nodes before batch slots are counted

What callers saw: after one of two nodes was killed, no item of any job ran again, although all slots of the upstreams were free.

Cause: the load updates of other nodes expired only when another update arrived or an upstream was chosen. If the only other node goes while its last update takes all slots for batch, no update arrives, and without free slots and online requests nothing is chosen, so that load stayed for ever.

Change: counting the free slots expires old load updates first.

--- a/serving/src/balance/state.rs
+++ b/serving/src/balance/state.rs
@@ -239,7 +239,8 @@
     /// Number of batch requests that may start now at the upstreams of `service`. The reserve for
     /// online requests is counted over the whole service, so that a single online request at one
     /// upstream does not start or stop batch requests.
-    pub fn free_batch_slots(&self, now: Millis, service: &Service) -> u32 {
+    pub fn free_batch_slots(&mut self, now: Millis, service: &Service) -> u32 {
+        self.expire(now);
         let (load, slots) = self.occupancy(now, service);
         let open = (f64::from(slots) * (1.0 - self.settings.online_reserve)) as u32;
         open.saturating_sub(load.total())
--- a/serving/tests/balance.rs
+++ b/serving/tests/balance.rs
@@ -106,6 +106,18 @@
     assert!(choose(&mut state, 0, Class::Online).is_ok());
 }
 
+/// Guards against batch requests that never start again because the load of a node that has gone
+/// keeps all slots taken: without a start, nothing else removed that load.
+#[test]
+fn load_of_a_node_that_has_gone_frees_its_slots_for_batch() {
+    let mut state = state(1);
+    let service = Service::from("model");
+    update_loads(&mut state, 0, "gone", &[(0, SLOTS)]);
+    assert_eq!(state.free_batch_slots(Millis(10), &service), 0);
+    let expired = Millis(Settings::default().load_expiry_ms);
+    assert_eq!(state.free_batch_slots(expired, &service), SLOTS - 1);
+}
+
 #[test]
 fn online_requests_beyond_the_slots_pause_as_many_batch_requests() {
     let mut state = state(1);
