fix(batch): don't count broken connections as failures of an item

What callers saw: an item of a job ended as failed with the code `attempts_exhausted` after its upstream had crashed under it three times, before its first token, and was back at once each time.

Cause: the runner tells a crash from a broken connection by whether the upstream accepts connections afterwards. An upstream that is back within 0.2 s does, and a connection that broke before the first token counted as a failed attempt of the item.

Change: failures of upstream calls now say whether the upstream refused, failed (another status or an invalid event), didn't answer in time, or the connection broke. Only failed and late answers count as attempts. After a broken connection the run waits for 0.5 s as does its replica, and after five of them without progress the item goes back to its owner, like one that was refused.

--- a/bulrushspread/src/attempt/driver.rs
+++ b/bulrushspread/src/attempt/driver.rs
@@ -11,7 +11,7 @@
     node::Shared,
     route::{Criteria, Guard, Isolation, Refusal, state::Outcome},
     time::Millis,
-    upstream::{Delivery, Failure},
+    upstream::{Delivery, Failure, FailureKind},
 };
 
 use super::{
@@ -317,7 +317,7 @@
 /// Classifies a failed attempt. Checks the health of the upstream unless the failure shows that
 /// the request did not run.
 async fn classify(context: &Shared, work: &Work, address: SocketAddr, failure: &Failure) -> Loss {
-    if failure.refused {
+    if failure.kind == FailureKind::Refused {
         return Loss::Refused;
     }
     if failure.delivery == Delivery::NotSent {
--- a/bulrushspread/src/batch/message.rs
+++ b/bulrushspread/src/batch/message.rs
@@ -107,13 +107,13 @@
 pub enum RunEnd {
     /// The upstream responded. `body` is the JSON for the result line.
     Answered { status: u16, body: String },
-    /// The run got no response; a retry may succeed.
+    /// The upstream answered with a failure, or not in time; a retry may succeed.
     Failed { reason: String },
     /// The upstream crashed while it ran the item.
     Crashed { reason: String },
     /// The request was sent and its outcome is unknown.
     Unknown { reason: String },
-    /// Nothing was sent to an upstream; the run does not count as an attempt.
+    /// No upstream made progress with the item; the run does not count as an attempt.
     Returned,
 }
 
--- a/bulrushspread/src/batch/runner/execute.rs
+++ b/bulrushspread/src/batch/runner/execute.rs
@@ -11,7 +11,7 @@
     id::{Service, Upstream},
     node::Shared,
     time::Millis,
-    upstream::{Call, Delivery, Failure},
+    upstream::{Call, Delivery, Failure, FailureKind},
 };
 
 use super::{
@@ -151,12 +151,16 @@
     specs.next().map_or(CALL_TIMEOUT, |spec| Millis(spec.timeout_ms))
 }
 
-/// Classifies a failure, checking whether the upstream still accepts connections.
+/// Classifies a failure. If the connection broke, checks whether the upstream still accepts
+/// connections.
 async fn classify_failure(context: &Shared, address: SocketAddr, failure: Failure) -> ExecutionEnd {
     let reason = failure.message;
-    if failure.refused || failure.delivery == Delivery::NotSent {
+    if failure.kind == FailureKind::Refused || failure.delivery == Delivery::NotSent {
         return ExecutionEnd::NotRun { reason };
     }
+    if matches!(failure.kind, FailureKind::Failed | FailureKind::TimedOut) {
+        return ExecutionEnd::Failed { reason };
+    }
     match is_listening(context, address).await {
         true => ExecutionEnd::Interrupted { reason },
         false => ExecutionEnd::Crashed { reason },
--- a/bulrushspread/src/batch/runner/message.rs
+++ b/bulrushspread/src/batch/runner/message.rs
@@ -40,7 +40,10 @@
     Answered { status: u16, body: String },
     /// No byte was sent, or the upstream rejected the request without running it.
     NotRun { reason: String },
-    /// The connection or stream broke, but the upstream still accepts connections.
+    /// The upstream answered with a failure, or not in time.
+    Failed { reason: String },
+    /// The connection or stream broke, but the upstream accepts connections. It may have crashed
+    /// and be back already.
     Interrupted { reason: String },
     /// The upstream crashed: it no longer accepts connections.
     Crashed { reason: String },
--- a/bulrushspread/src/batch/runner/outcome.rs
+++ b/bulrushspread/src/batch/runner/outcome.rs
@@ -7,7 +7,7 @@
 };
 
 use super::{
-    message::{Action, Execution, ExecutionEnd, Kind},
+    message::{Action, Execution, ExecutionEnd},
     request,
     run::{Phase, Run},
     state::State,
@@ -17,8 +17,8 @@
 const REPORT_INTERVAL: Millis = Millis(1_000);
 /// Delay before a rejected or interrupted run is started again.
 const RETRY_DELAY: Millis = Millis(500);
-/// Rejected executions after which the item goes back to its owner.
-const REFUSAL_LIMIT: u32 = 5;
+/// Rejected or broken executions without progress after which the item goes back to its owner.
+const FRUITLESS_LIMIT: u32 = 5;
 
 impl State {
     pub(super) fn handle_end(&mut self, now: Millis, execution: &Execution, end: ExecutionEnd) {
@@ -34,20 +34,25 @@
         if let ExecutionEnd::Crashed { reason } = end {
             return self.handle_crash(now, &upstream, &reason);
         }
-        let kind = self.remove_execution(&upstream, execution);
+        let has_progress = run.text.len() > run.resumed_from;
+        self.remove_execution(&upstream, execution);
         if let Some(replica) = self.replicas.get_mut(&upstream) {
             match end {
                 ExecutionEnd::NotRun { .. } => replica.back_off(now, RETRY_DELAY),
+                ExecutionEnd::Interrupted { .. } if !has_progress => {
+                    replica.back_off(now, RETRY_DELAY);
+                }
                 ExecutionEnd::Finished { .. } | ExecutionEnd::Answered { .. } => {
                     replica.record_progress(execution)
                 }
-                ExecutionEnd::Interrupted { .. }
+                ExecutionEnd::Failed { .. }
+                | ExecutionEnd::Interrupted { .. }
                 | ExecutionEnd::Crashed { .. }
                 | ExecutionEnd::Invalid { .. } => {}
             }
         }
         let Some(run) = self.runs.get_mut(&execution.ticket) else { return };
-        end_run(now, run, kind, end);
+        end_run(now, run, end);
     }
 
     /// Ends or pauses everything that ran on a crashed upstream. Items that must not be repeated
@@ -135,15 +140,14 @@
         }
     }
 
-    fn remove_execution(&mut self, upstream: &Upstream, execution: &Execution) -> Option<Kind> {
-        let replica = self.replicas.get_mut(upstream)?;
+    fn remove_execution(&mut self, upstream: &Upstream, execution: &Execution) {
+        let Some(replica) = self.replicas.get_mut(upstream) else { return };
         replica.running.remove(execution);
         replica.prefills.remove(execution);
-        Some(replica.spec.kind)
     }
 }
 
-fn end_run(now: Millis, run: &mut Run, kind: Option<Kind>, end: ExecutionEnd) {
+fn end_run(now: Millis, run: &mut Run, end: ExecutionEnd) {
     match end {
         ExecutionEnd::Finished { reason, created, .. } => {
             let body = request::response_body(&run.work, &run.text, reason, created);
@@ -153,26 +157,30 @@
         ExecutionEnd::Invalid { reason } => {
             run.end(RunEnd::Answered { status: 400, body: request::error_body(&reason) });
         }
-        ExecutionEnd::NotRun { .. } => requeue_refused(now, run),
-        ExecutionEnd::Interrupted { reason } if !run.work.idempotent => {
+        ExecutionEnd::NotRun { .. } => requeue(now, run),
+        ExecutionEnd::Interrupted { reason } | ExecutionEnd::Failed { reason }
+            if !run.work.idempotent =>
+        {
             run.end(RunEnd::Unknown { reason })
         }
-        // A stream that made progress is resumed. One that breaks before its next token counts as a
-        // failure of the item.
-        ExecutionEnd::Interrupted { .. }
-            if kind == Some(Kind::Engine) && run.text.len() > run.resumed_from =>
+        // A stream that made progress is resumed at its position.
+        ExecutionEnd::Interrupted { .. } | ExecutionEnd::Failed { .. }
+            if run.text.len() > run.resumed_from =>
         {
             run.pause(now, RETRY_DELAY);
         }
-        ExecutionEnd::Interrupted { reason } | ExecutionEnd::Crashed { reason } => {
+        ExecutionEnd::Interrupted { .. } => requeue(now, run),
+        ExecutionEnd::Failed { reason } | ExecutionEnd::Crashed { reason } => {
             run.end(RunEnd::Failed { reason })
         }
     }
 }
 
-fn requeue_refused(now: Millis, run: &mut Run) {
-    run.refusals += 1;
-    if run.refusals > REFUSAL_LIMIT {
+/// Lets the run wait for its next execution, or returns the item to its owner after too many
+/// executions without progress.
+fn requeue(now: Millis, run: &mut Run) {
+    run.fruitless += 1;
+    if run.fruitless > FRUITLESS_LIMIT {
         return run.end(RunEnd::Returned);
     }
     run.pause(now, RETRY_DELAY);
--- a/bulrushspread/src/batch/runner/run.rs
+++ b/bulrushspread/src/batch/runner/run.rs
@@ -26,8 +26,8 @@
     pub suspect: bool,
     /// Number of tokens that the run already had when the current execution started.
     pub resumed_from: usize,
-    /// Number of executions that the upstream rejected without running them.
-    pub refusals: u32,
+    /// Number of executions that the upstream rejected, or whose connection broke before a token.
+    pub fruitless: u32,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -61,7 +61,7 @@
             run_time: Millis(0),
             suspect: false,
             resumed_from: 0,
-            refusals: 0,
+            fruitless: 0,
         }
     }
 
--- a/bulrushspread/src/journal/http.rs
+++ b/bulrushspread/src/journal/http.rs
@@ -74,7 +74,9 @@
             .map_err(|error| refused(error.to_string()))?;
         let answer = self.web.send(request, timeout).await.map_err(|error| match error {
             web::Error::NotSent(message) => refused(message),
-            web::Error::Sent(message) => Error::Unknown { message },
+            web::Error::Sent(_) | web::Error::TimedOut(_) => {
+                Error::Unknown { message: error.to_string() }
+            }
         })?;
         check_status(answer)
     }
--- a/bulrushspread/src/upstream/http.rs
+++ b/bulrushspread/src/upstream/http.rs
@@ -27,7 +27,9 @@
     web::{self, Web, url},
 };
 
-use super::{Answer, Call, Client, Delivery, Event, Failure, Generate, Order, Report, Result};
+use super::{
+    Answer, Call, Client, Delivery, Event, Failure, FailureKind, Generate, Order, Report, Result,
+};
 
 /// Time within which an engine must accept or refuse a generation.
 const ADMIT_TIMEOUT: Millis = Millis(30_000);
@@ -151,10 +153,11 @@
     loop {
         if let Some(line) = take_line(&mut reader.buffer) {
             let Some(data) = line.strip_prefix(b"data:") else { continue };
-            return serde_json::from_slice(data).map_err(broken);
+            return serde_json::from_slice(data).map_err(invalid_event);
         }
-        let frame = reader.body.next().await.ok_or_else(|| broken("the stream ended early"))?;
-        if let Ok(data) = frame.map_err(broken)?.into_data() {
+        let frame =
+            reader.body.next().await.ok_or_else(|| disconnected("the stream ended early"))?;
+        if let Ok(data) = frame.map_err(disconnected)?.into_data() {
             reader.buffer.extend_from_slice(&data);
         }
     }
@@ -166,25 +169,34 @@
 }
 
 fn failure(error: web::Error) -> Failure {
-    let delivery = match error {
-        web::Error::NotSent(_) => Delivery::NotSent,
-        web::Error::Sent(_) => Delivery::Sent,
+    let (delivery, kind) = match error {
+        web::Error::NotSent(_) => (Delivery::NotSent, FailureKind::Disconnected),
+        web::Error::Sent(_) => (Delivery::Sent, FailureKind::Disconnected),
+        web::Error::TimedOut(_) => (Delivery::Sent, FailureKind::TimedOut),
     };
-    Failure { delivery, refused: false, message: error.to_string() }
+    Failure { delivery, kind, message: error.to_string() }
 }
 
 fn refusal(status: StatusCode) -> Failure {
-    let refused = matches!(
-        status,
-        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE | StatusCode::CONFLICT
-    );
-    Failure { delivery: Delivery::Sent, refused, message: format!("status {status}") }
+    let kind = match status {
+        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE | StatusCode::CONFLICT => {
+            FailureKind::Refused
+        }
+        _ => FailureKind::Failed,
+    };
+    Failure { delivery: Delivery::Sent, kind, message: format!("status {status}") }
 }
 
 fn invalid(error: impl std::fmt::Display) -> Failure {
-    Failure { delivery: Delivery::NotSent, refused: false, message: error.to_string() }
+    let (delivery, kind) = (Delivery::NotSent, FailureKind::Failed);
+    Failure { delivery, kind, message: error.to_string() }
+}
+
+fn invalid_event(error: impl std::fmt::Display) -> Failure {
+    Failure { delivery: Delivery::Sent, kind: FailureKind::Failed, message: error.to_string() }
 }
 
-fn broken(error: impl std::fmt::Display) -> Failure {
-    Failure { delivery: Delivery::Sent, refused: false, message: error.to_string() }
+fn disconnected(error: impl std::fmt::Display) -> Failure {
+    let (delivery, kind) = (Delivery::Sent, FailureKind::Disconnected);
+    Failure { delivery, kind, message: error.to_string() }
 }
--- a/bulrushspread/src/upstream/mod.rs
+++ b/bulrushspread/src/upstream/mod.rs
@@ -25,13 +25,25 @@
     Sent,
 }
 
+/// Why a call gave no complete answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FailureKind {
+    /// The upstream refused explicitly without running the request (for example 429).
+    Refused,
+    /// The upstream answered with another status than success, or with an invalid event.
+    Failed,
+    /// No answer came in time.
+    TimedOut,
+    /// The connection could not be made or broke.
+    Disconnected,
+}
+
 /// A call that gave no complete answer.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("{message}")]
 pub struct Failure {
     pub delivery: Delivery,
-    /// The upstream refused explicitly without running the request (for example 429).
-    pub refused: bool,
+    pub kind: FailureKind,
     pub message: String,
 }
 
--- a/bulrushspread/src/web.rs
+++ b/bulrushspread/src/web.rs
@@ -26,9 +26,12 @@
     /// No byte of the request left this process.
     #[error("can't connect: {0}")]
     NotSent(String),
-    /// Bytes left this process; the server may have acted on them.
+    /// Bytes left this process and the connection broke; the server may have acted on them.
     #[error("no answer: {0}")]
     Sent(String),
+    /// Bytes left this process and no answer came in time; the server may still act on them.
+    #[error("no answer: timed out after {0}")]
+    TimedOut(Millis),
 }
 
 /// An answer read to its end.
@@ -68,7 +71,7 @@
             Ok(Ok(response)) => Ok(response),
             Ok(Err(error)) if error.is_connect() => Err(Error::NotSent(error.to_string())),
             Ok(Err(error)) => Err(Error::Sent(error.to_string())),
-            Err(_) => Err(Error::Sent(format!("timed out after {timeout}"))),
+            Err(_) => Err(Error::TimedOut(timeout)),
         }
     }
 
@@ -86,7 +89,7 @@
         };
         match tokio::time::timeout(timeout.duration(), whole).await {
             Ok(answer) => answer,
-            Err(_) => Err(Error::Sent(format!("timed out after {timeout}"))),
+            Err(_) => Err(Error::TimedOut(timeout)),
         }
     }
 }
--- a/bulrushspread/tests/batch_runner.rs
+++ b/bulrushspread/tests/batch_runner.rs
@@ -42,6 +42,7 @@
         4 => Just(ExecutionEnd::Finished { last: None, reason: "stop".to_string(), created: 1 }),
         1 => Just(ExecutionEnd::NotRun { reason: reason() }),
         1 => Just(ExecutionEnd::Interrupted { reason: reason() }),
+        1 => Just(ExecutionEnd::Failed { reason: reason() }),
         1 => Just(ExecutionEnd::Crashed { reason: reason() }),
     ];
     prop_oneof![
@@ -340,6 +341,27 @@
     );
 }
 
+/// Guards against giving up an item because connections to upstreams broke before its first token,
+/// as they do when an upstream crashes behind a proxy or is back at once.
+#[test]
+fn connections_that_break_before_the_first_token_are_no_failures_of_the_item() {
+    let mut world = World::new();
+    world.grant(1);
+    for _ in 0..40 {
+        world.end(0, ExecutionEnd::Interrupted { reason: "connection reset".to_string() });
+        world.run(Step::Wait { millis: 500 });
+    }
+    assert_eq!(world.ends, BTreeMap::from([(ticket(0), RunEnd::Returned)]));
+}
+
+#[test]
+fn answers_of_failure_are_failures_of_the_item() {
+    let mut world = World::new();
+    world.grant(1);
+    world.end(0, ExecutionEnd::Failed { reason: "status 500".to_string() });
+    assert!(matches!(world.ends[&ticket(0)], RunEnd::Failed { .. }));
+}
+
 #[test]
 fn fails_an_item_that_never_ends() {
     let mut world = World::new();
--- a/standins/tests/fault_crash.rs
+++ b/standins/tests/fault_crash.rs
@@ -10,6 +10,7 @@
     client::Call,
     engine::text,
     fleet::{Fleet, Items, MODEL, Outcome, Plan, Program, Result},
+    wait::wait_until,
 };
 
 const ENGINES: usize = 4;
@@ -78,6 +79,32 @@
     .await
 }
 
+/// Guards against giving up an item because engines crashed before its first token and were back
+/// before the crash could be told from a broken connection.
+#[tokio::test]
+async fn item_under_which_engines_restarted_at_once_is_still_completed() -> Result<()> {
+    const FEW_TOKENS: u32 = 2;
+    let mut plan = Plan::new(Program::at(env!("CARGO_BIN_EXE_standin")));
+    plan.engines = 1;
+    plan.engine.step_ms = 1_500.0;
+    Fleet::run(plan, async |fleet| {
+        let caller = fleet.caller(0);
+        let job = caller.submit(&Items::numbered("note", 1, FEW_TOKENS)).await?;
+        for _ in 0..ITEM_CRASHES {
+            wait_until("the item runs", JOB_BOUND, || async {
+                (fleet.engine_count("/active").await > 0).then_some(())
+            })
+            .await?;
+            fleet.engines[0].standin.restart().await?;
+        }
+        let answered = [("note-0".to_string(), text::whole("note-0", FEW_TOKENS))].into();
+        let outcome = caller.wait_job(&job, JOB_BOUND).await?;
+        assert_eq!(outcome, Outcome { answered, failed: BTreeMap::new() });
+        Ok(())
+    })
+    .await
+}
+
 /// Guards against giving up an item because engines crashed under it.
 #[tokio::test]
 async fn item_under_which_engines_crashed_is_still_completed() -> Result<()> {
