fix(upstream): end a response that consists of skipped bytes only

An upstream that sent informational responses or zeros of a chunk size without an end kept the node from doing anything else: with 20 requests at once, the readiness probe got no answer within 2 s, and the requests would have been held until their deadline.

The HTTP parser skips such bytes without a limit, and a connection that always has more to read rarely yields. Its read buffer is limited to 64 KiB instead of hyper's default of 408 KiB, which also bounds the head of a response.

--- a/serving/src/upstream/call.rs
+++ b/serving/src/upstream/call.rs
@@ -124,6 +124,7 @@
             }
             result => result?,
         };
+        connection.meter.reset();
         let (parts, incoming) = response.into_parts();
         let head = codec.decode(&parts);
         if head.request.as_ref().is_some_and(|id| *id != request.id) {
@@ -164,7 +165,12 @@
             match self.incoming.frame().await {
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(data) if data.is_empty() => {}
-                    Ok(data) => return Ok(Some(data)),
+                    Ok(data) => {
+                        if let Some(connection) = &self.connection {
+                            connection.meter.reset();
+                        }
+                        return Ok(Some(data));
+                    }
                     // Trailers are not passed on to callers.
                     Err(_) => {}
                 },
--- a/serving/src/upstream/mod.rs
+++ b/serving/src/upstream/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 client for upstreams, with a pool of reusable connections.
 
 mod call;
+mod meter;
 mod passthrough;
 mod pool;
 
--- a/serving/src/upstream/pool.rs
+++ b/serving/src/upstream/pool.rs
@@ -6,7 +6,7 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
@@ -20,6 +20,11 @@
 
 use crate::id::Upstream;
 
+use super::meter::{Meter, MeteredStream};
+
+/// Maximum size of the read buffer of a connection, and so of the head of a response.
+const MAX_READ_BUFFER_BYTES: usize = 64 << 10;
+
 /// Timeouts and limits of the connection pool.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
@@ -55,6 +60,7 @@
 pub(super) struct Connection {
     pub(super) sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    pub(super) meter: Arc<Meter>,
     /// Whether the connection has carried a request before.
     pub(super) is_reused: bool,
 }
@@ -166,12 +172,16 @@
             .map_err(|_| "connecting timed out".to_string())?
             .map_err(|error| format!("connecting failed: {error}"))?;
         stream.set_nodelay(true).map_err(|error| format!("setting TCP_NODELAY failed: {error}"))?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let meter = Arc::new(Meter::default());
+        let stream = MeteredStream { stream, meter: Arc::clone(&meter) };
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| format!("the connection failed: {error}"))?;
         // An error of the connection is reported to the request in flight on it.
         let task = tokio::spawn(async move { drop(connection.await) }).abort_handle();
-        Ok(Connection { sender, task, is_reused: false })
+        Ok(Connection { sender, task, meter, is_reused: false })
     }
 
     fn connect_timeout(&self) -> Duration {
