fix(upstream): limit the memory for collected bodies

Each body of a response was collected up to 16 MiB, without a limit over all requests. Ten requests that met an endless body at once raised the node's memory by 144 to 170 MiB, and a node with 88 to 290 MB is killed.

A pool now reserves memory for the collected bodies of all its responses, 16 MiB in total; the first 64 KiB of each body need no reservation, so that usual responses don't depend on others. The reservation lasts until the response is written. A single body may have 8 MiB, and one that is declared longer fails at its head.

--- a/serving/src/upstream/call.rs
+++ b/serving/src/upstream/call.rs
@@ -4,7 +4,8 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body as _, Incoming};
+use tokio::sync::OwnedSemaphorePermit;
 
 use super::{
     Codec, Head, Options, Request, Result,
@@ -12,7 +13,9 @@
 };
 
 /// Largest body that is collected in memory. Larger ones fail with [`FailureKind::Broken`].
-const MAX_COLLECTED_BYTES: usize = 16 << 20;
+const MAX_COLLECTED_BYTES: usize = 8 << 20;
+/// Size up to which a body is collected even if other bodies take up all memory for them.
+const UNRESERVED_BYTES: usize = 64 << 10;
 
 /// How far a failed send got, which decides whether the request may be sent again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -185,16 +188,26 @@
         }
     }
 
-    /// Reads the body to its end. Fails if it is longer than 16 MiB.
+    /// Reads the body to its end. Fails if it is longer than 8 MiB, or if it is longer than 64 KiB
+    /// and the collected bodies of the pool take up too much memory.
     pub async fn collect(mut self) -> Result<Bytes> {
-        let mut collected = BytesMut::new();
+        let mut collected = CollectedBody::default();
+        if self.incoming.size_hint().lower() > MAX_COLLECTED_BYTES as u64 {
+            return Err(Failure::broken("the answer is too long"));
+        }
         while let Some(bytes) = self.next_chunk().await? {
-            collected.extend_from_slice(&bytes);
-            if collected.len() > MAX_COLLECTED_BYTES {
+            collected.bytes.extend_from_slice(&bytes);
+            if collected.bytes.len() > MAX_COLLECTED_BYTES {
                 return Err(Failure::broken("the answer is too long"));
             }
+            if !collected.reserve(&self.pool) {
+                return Err(Failure::broken("too many long answers at once"));
+            }
         }
-        Ok(collected.freeze())
+        Ok(match collected.reservation {
+            Some(_) => Bytes::from_owner(collected),
+            None => collected.bytes.freeze(),
+        })
     }
 
     /// Returns the connection to the pool unless the upstream closes it.
@@ -206,6 +219,39 @@
     }
 }
 
+/// A body with its share of the memory for collected bodies.
+#[derive(Default)]
+struct CollectedBody {
+    bytes: BytesMut,
+    reservation: Option<OwnedSemaphorePermit>,
+}
+
+impl CollectedBody {
+    /// Reserves the memory of the bytes. Returns false if the pool has not enough left.
+    fn reserve(&mut self, pool: &Pool) -> bool {
+        let needed = self.bytes.capacity().saturating_sub(UNRESERVED_BYTES).div_ceil(1 << 10);
+        let reserved = self.reservation.as_ref().map_or(0, OwnedSemaphorePermit::num_permits);
+        if needed <= reserved {
+            return true;
+        }
+        let memory = Arc::clone(&pool.collected_kib);
+        let Ok(added) = memory.try_acquire_many_owned((needed - reserved) as u32) else {
+            return false;
+        };
+        match &mut self.reservation {
+            Some(reservation) => reservation.merge(added),
+            None => self.reservation = Some(added),
+        }
+        true
+    }
+}
+
+impl AsRef<[u8]> for CollectedBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 /// Sends a request on an idle connection and waits for the head of the response.
 async fn send_request(
     connection: &mut Connection,
--- a/serving/src/upstream/pool.rs
+++ b/serving/src/upstream/pool.rs
@@ -16,7 +16,7 @@
 use hyper_util::rt::TokioIo;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
-use tokio::{net::TcpStream, task::AbortHandle, time::Instant};
+use tokio::{net::TcpStream, sync::Semaphore, task::AbortHandle, time::Instant};
 
 use crate::id::Upstream;
 
@@ -24,6 +24,8 @@
 
 /// Maximum size of the read buffer of a connection, and so of the head of a response.
 const MAX_READ_BUFFER_BYTES: usize = 64 << 10;
+/// Maximum memory for the collected bodies of all responses, in KiB.
+const MAX_COLLECTED_KIB: usize = 16 << 10;
 
 /// Timeouts and limits of the connection pool.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
@@ -82,11 +84,17 @@
 pub struct Pool {
     settings: Settings,
     idle: Mutex<BTreeMap<(Upstream, SocketAddr), Vec<IdleConnection>>>,
+    /// KiB of memory that are left for collected bodies.
+    pub(super) collected_kib: Arc<Semaphore>,
 }
 
 impl Pool {
     pub fn new(settings: Settings) -> Pool {
-        Pool { settings, idle: Mutex::new(BTreeMap::new()) }
+        Pool {
+            settings,
+            idle: Mutex::new(BTreeMap::new()),
+            collected_kib: Arc::new(Semaphore::new(MAX_COLLECTED_KIB)),
+        }
     }
 
     /// Closes the idle connections to an upstream.
