fix(upstream): read at most 64 KiB of a refusal, for at most 50 ms

A request that an engine refused without running it was answered 504 at its deadline if the body of the refusal never came, and the memory of the node grew by 166 MiB if it never ended (18 MiB with the limit for collected bodies).

The body of a refusal is read to reuse the connection. That had no limits of its own, and the time-out of the whole send replaced the refusal by a request that may have run.

The connection is now closed instead once the body exceeds 64 KiB or 50 ms; the refusal stands either way.

--- a/serving/src/upstream/call.rs
+++ b/serving/src/upstream/call.rs
@@ -16,6 +16,10 @@
 const MAX_COLLECTED_BYTES: usize = 8 << 20;
 /// Size up to which a body is collected even if other bodies take up all memory for them.
 const UNRESERVED_BYTES: usize = 64 << 10;
+/// Largest body of a refusal that is read, to reuse its connection.
+const MAX_DISCARDED_BYTES: usize = 64 << 10;
+/// How long to wait for the end of the body of a refusal.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(50);
 
 /// How far a failed send got, which decides whether the request may be sent again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -151,7 +155,7 @@
         if head.not_run {
             // Reading the whole body returns the connection to the pool, so that an overloaded
             // upstream does not have to accept a new connection after each refusal.
-            let _ = body.collect().await;
+            let _ = tokio::time::timeout(DISCARD_TIMEOUT, body.discard()).await;
             return Err(Failure::refused(FailureKind::Overloaded, "the upstream has no room"));
         }
         if parts.status.is_success() && !head.is_authentic {
@@ -210,6 +214,18 @@
         })
     }
 
+    /// Reads a short body to its end and discards it.
+    async fn discard(mut self) -> Result<()> {
+        let mut discarded = 0;
+        while let Some(bytes) = self.next_chunk().await? {
+            discarded += bytes.len();
+            if discarded > MAX_DISCARDED_BYTES {
+                return Err(Failure::broken("the refusal is too long"));
+            }
+        }
+        Ok(())
+    }
+
     /// Returns the connection to the pool unless the upstream closes it.
     fn return_connection(&mut self) {
         let Some(connection) = self.connection.take() else { return };
