perf(events): look at each byte of a stream once

A stream whose event arrived in small pieces kept the node busy: the splitter searched the event from its start after each piece. An event of 128 KiB in single bytes took 52 s in a debug build; up to 1 MiB was allowed.

The splitter now goes on where its last search ended. The new test failed before (52 s for a limit of 2 s) and takes 0.2 s now; the events still don't depend on where the bytes are split.

--- a/serving/src/exchange/events.rs
+++ b/serving/src/exchange/events.rs
@@ -36,6 +36,10 @@
 #[derive(Debug, Default)]
 pub struct Splitter {
     pending: BytesMut,
+    /// Number of pending bytes in which no event ends.
+    scanned: usize,
+    /// Start of the line at `scanned`.
+    line_start: usize,
 }
 
 impl Splitter {
@@ -59,7 +63,8 @@
     type Item = Event;
 
     fn next(&mut self) -> Option<Event> {
-        let end = end_of_event(&self.pending)?;
+        let end = self.find_end()?;
+        (self.scanned, self.line_start) = (0, 0);
         let bytes = self.pending.split_to(end).freeze();
         let id = field_values(&bytes, b"id").last();
         let id = id.and_then(|id| std::str::from_utf8(id).ok()?.trim().parse().ok());
@@ -67,20 +72,24 @@
     }
 }
 
-/// Position after the blank line that ends the first event, if the event is complete.
-fn end_of_event(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (index, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &bytes[line_start..index];
-        if line_start > 0 && (line.is_empty() || line == b"\r") {
-            return Some(index + 1);
+impl Splitter {
+    /// Position after the blank line that ends the first event, if the event is complete. Each byte
+    /// is looked at once, however small the pieces are in which an event arrives.
+    fn find_end(&mut self) -> Option<usize> {
+        while self.scanned < self.pending.len() {
+            let index = self.scanned;
+            self.scanned += 1;
+            if self.pending[index] != b'\n' {
+                continue;
+            }
+            let line = &self.pending[self.line_start..index];
+            if self.line_start > 0 && (line.is_empty() || line == b"\r") {
+                return Some(index + 1);
+            }
+            self.line_start = index + 1;
         }
-        line_start = index + 1;
+        None
     }
-    None
 }
 
 /// Values of all lines with the field `name`.
--- a/serving/tests/events.rs
+++ b/serving/tests/events.rs
@@ -1,5 +1,7 @@
 //! Tests of the parser for server-sent events.
 
+use std::time::{Duration, Instant};
+
 use proptest::{
     prelude::*,
     test_runner::{Config, RngSeed},
@@ -44,6 +46,21 @@
     assert!(!events[1].has_data());
 }
 
+/// An event that arrived in small pieces was searched from its start for each of them, which kept
+/// the node busy for seconds.
+#[test]
+fn event_in_single_bytes_takes_linear_time() {
+    const EVENT_BYTES: usize = 128 << 10;
+    let started = Instant::now();
+    let mut splitter = Splitter::default();
+    for _ in 0..EVENT_BYTES {
+        splitter.push(b"a");
+        assert!(splitter.next().is_none());
+    }
+    assert!(splitter.is_partial());
+    assert!(started.elapsed() < Duration::from_secs(2), "{:?}", started.elapsed());
+}
+
 proptest! {
     #![proptest_config(config())]
 
