fix(events): limit an event to 64 KiB

Each stream could buffer an event of up to 1 MiB, so that 40 streams that met an endless event at once took up 40 MiB or more of a node with 88 MB. An event carries a few tokens, so 64 KiB are ample. The new test failed before: an event of 64 KiB and one byte was not overlong.

--- a/serving/src/exchange/events.rs
+++ b/serving/src/exchange/events.rs
@@ -2,8 +2,9 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Maximum size of an event in bytes. A stream with a larger one is treated as broken.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Maximum size of an event in bytes. A stream with a larger one is treated as broken. An event
+/// carries a few tokens, and each stream may buffer this much.
+const MAX_EVENT_BYTES: usize = 64 << 10;
 
 /// One complete event as the upstream sent it, including the blank line at its end.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/serving/tests/events.rs
+++ b/serving/tests/events.rs
@@ -61,6 +61,16 @@
     assert!(started.elapsed() < Duration::from_secs(2), "{:?}", started.elapsed());
 }
 
+/// Many streams at once must not take up the memory of the node with one event each.
+#[test]
+fn event_of_more_than_64_kib_is_overlong() {
+    let mut splitter = Splitter::default();
+    splitter.push(&vec![b'a'; 64 << 10]);
+    assert!(splitter.next().is_none() && !splitter.is_overlong());
+    splitter.push(b"a");
+    assert!(splitter.next().is_none() && splitter.is_overlong());
+}
+
 proptest! {
     #![proptest_config(config())]
 
