fix(upstream): stop reading a response at the deadline of its request

A stream that always had a next event, or a comment, was forwarded past the deadline of its request: with a deadline of 2.5 s, requests were still held when the caller closed after 8 s.

The relay waits for the next event and for a timer at the same time, but starts the timer anew for each event. Past the deadline that timer has 0 ms to run and still needs a turn of the runtime, which an event that is already there wins every time.

The body of a response now fails at the deadline that its send had, even if bytes are available. The three new tests failed before (no end within 8 s, or one after 3.3 s). Now the longest answer took 2.55 s, and no answer looks complete.

--- a/serving/src/upstream/call.rs
+++ b/serving/src/upstream/call.rs
@@ -5,7 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as _, Incoming};
-use tokio::sync::OwnedSemaphorePermit;
+use tokio::{sync::OwnedSemaphorePermit, time::Instant};
 
 use super::{
     Codec, Head, Options, Request, Result,
@@ -72,6 +72,12 @@
         Failure { kind: FailureKind::Broken, delivery: Delivery::Sent, message: message.into() }
     }
 
+    /// The response didn't end before the deadline of the request.
+    fn too_late() -> Failure {
+        let message = "the answer didn't end in time".to_string();
+        Failure { kind: FailureKind::TimedOut, delivery: Delivery::Sent, message }
+    }
+
     /// No bytes arrived within the timeout after the request was sent.
     pub(crate) fn timed_out() -> Failure {
         let message = "the upstream has been silent for too long".to_string();
@@ -96,6 +102,7 @@
     connection: Option<Connection>,
     keep_alive: Option<Duration>,
     closes_connection: bool,
+    deadline: Option<Instant>,
 }
 
 impl Pool {
@@ -115,6 +122,7 @@
         address: SocketAddr,
         is_retryable: bool,
     ) -> Result<Answer> {
+        let deadline = options.deadline.map(|timeout| Instant::now() + timeout);
         let mut connection = self
             .check_out(options.upstream, address, is_retryable)
             .await
@@ -151,6 +159,7 @@
             connection: Some(connection),
             keep_alive: head.keep_alive.map(|span| span.duration()),
             closes_connection: head.closes_connection,
+            deadline,
         };
         if head.not_run {
             // Reading the whole body returns the connection to the pool, so that an overloaded
@@ -166,9 +175,14 @@
 }
 
 impl Body {
-    /// Returns the next chunk of bytes, or `None` at the end of a complete body.
+    /// Returns the next chunk of bytes, or `None` at the end of a complete body. Fails if bytes still
+    /// arrive after the deadline of the request.
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>> {
         loop {
+            // A timer of the caller may never fire while there is always a next chunk.
+            if self.deadline.is_some_and(|deadline| Instant::now() >= deadline) {
+                return Err(Failure::too_late());
+            }
             match self.incoming.frame().await {
                 Some(Ok(frame)) => match frame.into_data() {
                     Ok(data) if data.is_empty() => {}
