fix(batch): limit an event of an item to 64 KiB

An engine that sent one endless event to the items of a job raised the node's memory by 184 MiB within 4 s, until the node is killed. The limit on the size of an event was only applied to online streams.

A run of an item now fails as well once an event exceeds the limit, and the item runs again. The new test failed before (memory grew by 193 MB, no run had ended). Now memory grows by 1.2 MiB, the longest of the runs took 9 ms, and the job succeeds with the right results once the engine is sound.

--- a/serving/src/batch/run.rs
+++ b/serving/src/batch/run.rs
@@ -147,6 +147,9 @@
             for event in splitter.by_ref() {
                 self.progress.apply(&event).map_err(Failure::broken)?;
             }
+            if splitter.is_overlong() {
+                return Err(Failure::broken("an event is too long"));
+            }
             if self.progress.events >= saved + self.settings.save_events {
                 saved = self.progress.events;
                 // Dropped if the owner's queue is full; the next update includes this one.
