fix(batch): limit the output of an item

An engine that sent events without an end to the items of a job raised the node's memory by 132 MiB within 4 s, until the node is killed. The output of an item had no limit, and the owner kept a copy of it for every 40 events until the log had taken them. A progress record larger than the log takes would have been repeated for ever.

A run now fails once the output exceeds the size of a record, and the item starts anew, so that no result is built from such an output. The progress of a run is passed on every 100 ms at most.

--- a/serving/src/batch/run.rs
+++ b/serving/src/batch/run.rs
@@ -3,7 +3,10 @@
 use std::{sync::Arc, time::Duration};
 
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
-use tokio::sync::{mpsc, oneshot};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::Instant,
+};
 
 use crate::{
     balance::Outcome,
@@ -18,6 +21,10 @@
     record::Item,
 };
 
+/// Minimum time between two updates of the progress of a run. The owner keeps updates in memory until
+/// the log has taken them.
+const MIN_SAVE_INTERVAL: Duration = Duration::from_millis(100);
+
 /// A run that is about to start.
 pub(super) struct Run {
     pub(super) context: Arc<Context>,
@@ -28,7 +35,8 @@
     pub(super) settings: Settings,
     /// Pauses the run, to free its slot at the upstream.
     pub(super) pause: oneshot::Receiver<()>,
-    /// Receives the progress of the run every `save_events` events.
+    /// Receives the progress of the run every `save_events` events, but not more often than every
+    /// `MIN_SAVE_INTERVAL`.
     pub(super) progress_tx: mpsc::Sender<(ItemId, Progress)>,
 }
 
@@ -104,8 +112,8 @@
     }
 
     /// Sends the request and reads the response to its end. Fails if the upstream can't be reached,
-    /// closes the connection early, sends nothing for `silence_ms`, or answers with a status other
-    /// than 200, 422 and 500.
+    /// closes the connection early, sends nothing for `silence_ms`, sends more output than a record
+    /// of the log holds, or answers with a status other than 200, 422 and 500.
     async fn exchange(&mut self) -> Result<RunEnd, Failure> {
         let send = Options {
             upstream: &self.permit.pick.upstream,
@@ -133,6 +141,7 @@
         let mut body = response.body;
         let mut splitter = Splitter::default();
         let mut saved = self.progress.events;
+        let mut saved_at = Instant::now();
         loop {
             let next = tokio::time::timeout(max_silence, body.next_chunk())
                 .await
@@ -150,8 +159,16 @@
             if splitter.is_overlong() {
                 return Err(Failure::broken("an event is too long"));
             }
-            if self.progress.events >= saved + self.settings.save_events {
+            if self.progress.output.len() > self.settings.record_bytes {
+                // The next run must not resume after an output that can't be right.
+                self.progress = Progress::default();
+                return Err(Failure::broken("the output is too long"));
+            }
+            if self.progress.events >= saved + self.settings.save_events
+                && saved_at.elapsed() >= MIN_SAVE_INTERVAL
+            {
                 saved = self.progress.events;
+                saved_at = Instant::now();
                 // Dropped if the owner's queue is full; the next update includes this one.
                 let _ = self.progress_tx.try_send((self.id.clone(), self.progress.clone()));
             }
