fix(batch): end a run that makes no progress

An item at an engine that sent comments, or events that the item had already, was never run elsewhere: any byte counted as a sign of life, and a run has no other limit than 60 s.

Only new events count now, so such a run ends after `silence_ms`.

--- a/serving/src/batch/run.rs
+++ b/serving/src/batch/run.rs
@@ -112,8 +112,8 @@
     }
 
     /// Sends the request and reads the response to its end. Fails if the upstream can't be reached,
-    /// closes the connection early, sends nothing for `silence_ms`, sends more output than a record
-    /// of the log holds, or answers with a status other than 200, 422 and 500.
+    /// closes the connection early, sends no new event for `silence_ms`, sends more output than a
+    /// record of the log holds, or answers with a status other than 200, 422 and 500.
     async fn exchange(&mut self) -> Result<RunEnd, Failure> {
         let send = Options {
             upstream: &self.permit.pick.upstream,
@@ -142,8 +142,10 @@
         let mut splitter = Splitter::default();
         let mut saved = self.progress.events;
         let mut saved_at = Instant::now();
+        let mut progressed_at = Instant::now();
         loop {
-            let next = tokio::time::timeout(max_silence, body.next_chunk())
+            let silence_deadline = progressed_at + max_silence;
+            let next = tokio::time::timeout_at(silence_deadline, body.next_chunk())
                 .await
                 .map_err(|_| Failure::timed_out())??;
             let Some(bytes) = next else {
@@ -153,9 +155,16 @@
                 };
             };
             splitter.push(&bytes);
+            let before = (self.progress.events, self.progress.last_event);
             for event in splitter.by_ref() {
                 self.progress.apply(&event).map_err(Failure::broken)?;
             }
+            if (self.progress.events, self.progress.last_event) != before {
+                progressed_at = Instant::now();
+            } else if Instant::now() >= silence_deadline {
+                // The timeout doesn't apply while there is always a next chunk.
+                return Err(Failure::timed_out());
+            }
             if splitter.is_overlong() {
                 return Err(Failure::broken("an event is too long"));
             }
--- a/serving/src/batch/settings.rs
+++ b/serving/src/batch/settings.rs
@@ -31,7 +31,7 @@
     pub retry_ms: u64,
     /// Timeout of a run in milliseconds.
     pub run_ms: u64,
-    /// Milliseconds without data from the upstream after which a run is interrupted.
+    /// Milliseconds without a new event from the upstream after which a run is interrupted.
     pub silence_ms: u64,
     /// Number of events after which the progress of a run is saved, for a later owner to resume.
     pub save_events: u64,
