fix(upstream): don't forward a switch of protocols

A response with status 101 was forwarded to the caller, who then waits for bytes of a protocol that nobody asked for. The upstream client hands every final response on, and 101 is one.

Such a response now counts as broken, and the request may be sent to another upstream as after any other broken response. The new test failed before (101 instead of 502).

--- a/serving/src/upstream/call.rs
+++ b/serving/src/upstream/call.rs
@@ -141,6 +141,9 @@
         };
         connection.meter.reset();
         let (parts, incoming) = response.into_parts();
+        if parts.status.is_informational() {
+            return Err(Failure::broken("the upstream switched protocols"));
+        }
         let head = codec.decode(&parts);
         if head.request.as_ref().is_some_and(|id| *id != request.id) {
             return Err(Failure::broken("the answer belongs to another request"));
