fix(web): read at most 64 MiB of an answer

The client of the daemon collected the body of an answer without a limit until the call timed out, which is 2 s for a load report and up to the time-out of the call for a request. The log's pages have no limit of their own, so the limit is a wide one.

--- a/bulrushspread/src/web.rs
+++ b/bulrushspread/src/web.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
@@ -20,6 +20,9 @@
 /// Time that a connection attempt may take.
 const CONNECT_TIMEOUT: Millis = Millis(1_000);
 
+/// Maximum size of the body of an answer; a page of the log may hold many records.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+
 /// How far a request got before it failed.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub(crate) enum Error {
@@ -75,7 +78,7 @@
         }
     }
 
-    /// Sends the request and reads the whole answer.
+    /// Sends the request and reads the whole answer. Fails if its body exceeds 64 MiB.
     pub(crate) async fn send(
         &self,
         request: Request<Full<Bytes>>,
@@ -84,7 +87,10 @@
         let whole = async {
             let response = self.open(request, timeout).await?;
             let (head, body) = response.into_parts();
-            let body = body.collect().await.map_err(|error| Error::Sent(error.to_string()))?;
+            let body = Limited::new(body, MAX_ANSWER_BYTES)
+                .collect()
+                .await
+                .map_err(|error| Error::Sent(error.to_string()))?;
             Ok(Answer { status: head.status, headers: head.headers, body: body.to_bytes() })
         };
         match tokio::time::timeout(timeout.duration(), whole).await {
