fix(upstream): limit a line of an engine's event to 64 KiB

A stream of the daemon whose engine sent a line without an end grew in memory and never failed. The line was also searched from its start for each chunk, so that the task no longer yielded: a time-out of 5 s around the read had not fired after a minute.

The stream now fails once a line exceeds 64 KiB.

--- a/bulrushspread/src/upstream/http.rs
+++ b/bulrushspread/src/upstream/http.rs
@@ -35,6 +35,8 @@
 const ADMIT_TIMEOUT: Millis = Millis(30_000);
 /// Time that a report, an order or a cancel may take.
 const CONTROL_TIMEOUT: Millis = Millis(2_000);
+/// Maximum size of a line of an event. A stream with a longer one is treated as broken.
+const MAX_LINE_BYTES: usize = 64 << 10;
 /// Where engines report their load.
 const ENGINE_LOAD_PATH: &str = "/v1/load";
 /// Where plain services report theirs.
@@ -155,6 +157,9 @@
             let Some(data) = line.strip_prefix(b"data:") else { continue };
             return serde_json::from_slice(data).map_err(invalid_event);
         }
+        if reader.buffer.len() > MAX_LINE_BYTES {
+            return Err(invalid_event("a line of an event is too long"));
+        }
         let frame =
             reader.body.next().await.ok_or_else(|| disconnected("the stream ended early"))?;
         if let Ok(data) = frame.map_err(disconnected)?.into_data() {
