fix(exchange): don't take repeated events for progress

A stream whose upstream repeats events without end was cut off at its deadline instead of resumed at another upstream. The caller has those events already, and each of them restarted the time after which the upstream counts as silent; as there was always a next one, no timer fired either.

Only events that the caller doesn't have count as progress, and the time is checked before the next event is read.

--- a/serving/src/exchange/driver.rs
+++ b/serving/src/exchange/driver.rs
@@ -178,15 +178,15 @@
             Some(successor) => successor.until,
             None => self.search_at,
         };
-        if now >= self.state.deadline() {
+        // A run that is always ready must not keep the time from passing.
+        if now >= wake_at {
             return Some(Wake::Time);
         }
         let is_held = self.held.is_some();
         let wake = tokio::select! {
-            // What has arrived counts before a timer that fired meanwhile.
             biased;
-            progress = current.next(), if !is_held => Wake::Current(progress),
             Some(result) = next_of(&mut self.successor) => Wake::Successor(result),
+            progress = current.next(), if !is_held => Wake::Current(progress),
             () = tokio::time::sleep((wake_at - now).duration()) => Wake::Time,
         };
         Some(wake)
@@ -210,6 +210,12 @@
 
     fn handle_current(&mut self, progress: Progress) -> Option<Output> {
         let current = self.current.as_mut()?;
+        if let Progress::Event(event) = &progress
+            && self.state.is_repeated(event.id)
+        {
+            // No sign of life: an upstream may repeat events without end.
+            return None;
+        }
         let is_answer = matches!(progress, Progress::Received(Received::Complete { .. }));
         let is_failure = matches!(progress, Progress::Failed(_));
         if self.successor.is_some() && !is_answer && !is_failure {
@@ -258,13 +264,12 @@
 
     fn handle_event(&mut self, event: Event) -> Option<Output> {
         match self.state.accept_event(event.id) {
-            Ok(is_new) => {
+            Ok(false) => None,
+            Ok(true) => {
                 self.resume_waiting();
-                if is_new {
-                    self.trace.record_first_event();
-                    self.keep_version();
-                }
-                is_new.then_some(Output::Event(event.bytes))
+                self.trace.record_first_event();
+                self.keep_version();
+                Some(Output::Event(event.bytes))
             }
             Err(gap) => {
                 self.end_current(Outcome::Failed);
--- a/serving/src/exchange/state.rs
+++ b/serving/src/exchange/state.rs
@@ -179,6 +179,11 @@
         Ok(true)
     }
 
+    /// Whether the caller has the event with this id already.
+    pub fn is_repeated(&self, id: Option<u64>) -> bool {
+        id.is_some_and(|id| self.last_event.is_some_and(|last| id <= last))
+    }
+
     /// Records a failed send and decides what to do next. A send that didn't reach the upstream
     /// doesn't count as an attempt.
     pub fn record_failure(
