fix(attempt): check the quarantine again before a suspect is sent

A request that had crashed two engines was sent to a third one by a node that already knew of both crashes.

Cause: a suspect needs a reservation of its upstream, which takes a round trip to the coordinator. The node read the status of the request (a suspect) before that, and sent it without a second look. Evidence: 120 runs of a_crashing_request_stops_after_its_second_engine_everywhere, 6 at once, with additional log lines, load 20 to 35 on 8 cores: 8 failed. In 6 of these the report of the second crash reached the second node 1 to 14 ms before it sent the request. In the other 2 it arrived 1 ms after the send, which this change does not address. Ruled out by the same logs: lost datagrams, slow connections between nodes, a third attempt of the first node.

Change: the driver applies Event::Picked before it sends. The state machine then reads the status again and answers with Action::Send or ends the request as quarantined.

Measured: the new test of the state machine fails before and passes after.

--- a/bulrushspread/src/attempt/driver.rs
+++ b/bulrushspread/src/attempt/driver.rs
@@ -40,6 +40,8 @@
     progress_tx: Sender<Result<Progress>>,
     /// Texts of the events that were delivered to the caller, in order of index.
     delivered: Vec<String>,
+    /// Number and replica of an attempt that has not been sent yet.
+    picked: Option<(u32, Guard)>,
     /// Number, replica and progress of the current attempt.
     running: Option<(u32, Guard, ProgressStream)>,
     /// Held while the attempt must be the only suspect on its upstream.
@@ -70,6 +72,7 @@
             targets,
             progress_tx,
             delivered: Vec::new(),
+            picked: None,
             running: None,
             reservation: None,
         }
@@ -111,6 +114,7 @@
                 Action::Dispatch { attempt, constraints, .. } => {
                     step = Step::Apply(self.dispatch(attempt, constraints).await);
                 }
+                Action::Send => self.send(),
                 Action::Deliver => {
                     let Some(progress) = progress.take() else { continue };
                     self.deliver(progress).await;
@@ -138,10 +142,15 @@
             Err(Refusal::NoReplica) => return Event::NoUpstream,
         };
         let upstream = guard.pick.upstream.clone();
+        self.picked = Some((attempt, guard));
+        Event::Picked { upstream }
+    }
+
+    fn send(&mut self) {
+        let Some((attempt, guard)) = self.picked.take() else { return };
         let _ = self.context.metrics.incr("attempt.dispatched");
         let running = self.work.send(&self.context, guard.pick.address, &self.delivered);
         self.running = Some((attempt, guard, running));
-        Event::Picked { upstream }
     }
 
     /// Picks a replica on which no node runs a suspect, and reserves it.
@@ -281,6 +290,7 @@
             }
             Err(error) => {
                 let _ = self.context.metrics.incr(&format!("attempt.ended.{}", error.kind));
+                self.picked = None;
                 self.running = None;
                 let send = self.progress_tx.send(Err(error));
                 let _ = tokio::time::timeout(ERROR_DELIVERY_TIMEOUT.duration(), send).await;
--- a/bulrushspread/src/attempt/state.rs
+++ b/bulrushspread/src/attempt/state.rs
@@ -78,7 +78,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Event {
     Begin,
-    /// The request was sent to an upstream.
+    /// An upstream was picked, and reserved for a suspect.
     Picked {
         upstream: Upstream,
     },
@@ -108,8 +108,10 @@
 /// Output of the state machine, for the driver to execute.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Action {
-    /// Pick an upstream and send the request, or resume its stream at index `from`.
+    /// Pick an upstream for the request, or for its stream from index `from` on.
     Dispatch { attempt: u32, from: u32, constraints: Constraints },
+    /// Send the request to the upstream that was just picked.
+    Send,
     /// Deliver the event that was just applied to the caller.
     Deliver,
     /// Let other requests run on the upstream: the suspect is past the index of its last crash.
@@ -199,10 +201,7 @@
                 node.budget.deposit();
                 self.dispatch(now, node)
             }
-            Event::Picked { upstream } => {
-                self.phase = Phase::Running { upstream };
-                vec![Action::Wake(self.deadline)]
-            }
+            Event::Picked { upstream } => self.send(now, upstream, node),
             Event::NoUpstream => {
                 self.constraints.excluded.clear();
                 self.retry(now, node)
@@ -337,6 +336,15 @@
         }]
     }
 
+    fn send(&mut self, now: Millis, upstream: Upstream, node: &NodeState) -> Vec<Action> {
+        // Another node may have reported a crash while the upstream was being reserved.
+        if node.quarantine.status(now, &self.fingerprint) == Status::Quarantined {
+            return self.finish(Err(quarantined()));
+        }
+        self.phase = Phase::Running { upstream };
+        vec![Action::Send, Action::Wake(self.deadline)]
+    }
+
     fn time_out(&mut self) -> Vec<Action> {
         let running = matches!(self.phase, Phase::Running { .. });
         let error = match (running, self.repeatability) {
--- a/bulrushspread/tests/attempt.rs
+++ b/bulrushspread/tests/attempt.rs
@@ -7,6 +7,7 @@
     attempt::{
         Fingerprint, Settings,
         intent::{Intent, Key, Outcome, Record, Stage, State},
+        quarantine::{Crash, Suspect},
         state::{Action, Event, Loss, NodeState, Repeatability, Request},
     },
     error::Kind,
@@ -63,10 +64,9 @@
 
 impl Harness {
     fn new(repeatability: Repeatability, settings: Settings) -> Harness {
-        let fingerprint = Fingerprint::of(&Workspace::from("zadruga"), b"body");
         Harness {
             node: NodeState::new(settings, 3),
-            request: Request::new(fingerprint, repeatability, DEADLINE),
+            request: Request::new(fingerprint(), repeatability, DEADLINE),
             now: Millis(0),
             delivered: Vec::new(),
             possible_runs: 0,
@@ -116,7 +116,8 @@
     fn dispatch(&mut self, attempt: u32, from: u32, script: Option<&Dispatch>) -> Vec<Action> {
         self.dispatches += 1;
         let upstream = Upstream(format!("engine-{attempt}"));
-        self.apply(Event::Picked { upstream });
+        let actions = self.apply(Event::Picked { upstream });
+        assert!(actions.contains(&Action::Send), "{actions:?}");
         let to = script.map_or(STREAM_EVENTS, |script| (from + script.events).min(STREAM_EVENTS));
         if let Some(index) = script.and_then(|script| script.stale) {
             self.apply(Event::Token { attempt: attempt - 1, index, last: false });
@@ -201,6 +202,10 @@
     }
 }
 
+fn fingerprint() -> Fingerprint {
+    Fingerprint::of(&Workspace::from("zadruga"), b"body")
+}
+
 fn intent(key: &Key, nonce: u64) -> Intent {
     Intent {
         key: key.clone(),
@@ -221,3 +226,19 @@
     assert_eq!((harness.dispatches, harness.end), (2, Some(Err(Kind::UpstreamFailed))));
     assert!(harness.now < DEADLINE);
 }
+
+/// Guards against a third crash: another node reports the second one while this node waits for the
+/// reservation of an upstream.
+#[test]
+fn a_request_that_is_quarantined_while_its_upstream_is_picked_is_not_sent() {
+    let crash = |upstream| Crash { upstream: Upstream::from(upstream), at: Millis(0) };
+    let suspect = |crashes| Suspect { fingerprint: fingerprint(), crashes };
+    let mut harness = Harness::new(Repeatability::Idempotent, Settings::default());
+    harness.node.quarantine.merge(Millis(0), vec![suspect(vec![crash("engine-1")])]);
+    let actions = harness.apply(Event::Begin);
+    assert!(matches!(actions[..], [Action::Dispatch { .. }]), "{actions:?}");
+    harness.node.quarantine.merge(Millis(0), vec![suspect(vec![crash("engine-2")])]);
+    harness.apply(Event::Picked { upstream: Upstream::from("engine-3") });
+    assert_eq!(harness.end, Some(Err(Kind::Quarantined)));
+    assert!(!harness.request.has_been_sent());
+}
