fix(attempt): report crashes to all nodes before the caller gets the error

A caller whose request had crashed two engines was told that it is quarantined, sent it again to another node, and there it crashed a third engine.

Cause: a node reported crashes to the others by datagrams in the background and answered the caller without waiting for them.

Change: the report is a request that each node confirms, sent to all nodes at once, so that an unreachable one does not delay the others. A request that ends in an error after a crash waits for the confirmations, for at most 500 ms and not beyond its deadline. Other requests, and those that succeed after a crash, do not wait. Weighed against it: a coordinator for each suspect, asked before a suspect is sent. This costs each retry of an innocent request a round trip, stops at a frozen coordinator, and does not help a node that has not heard of the first crash.

What remains: a node that does not confirm within 500 ms may send the request once more, as may a node to which the request is sent while the report is under way.

--- a/bulrushspread/src/attempt/driver.rs
+++ b/bulrushspread/src/attempt/driver.rs
@@ -15,7 +15,8 @@
 };
 
 use super::{
-    gossip, reservation,
+    gossip::Report,
+    reservation,
     state::{Action, Constraints, Event, Loss, Request},
     work::{Progress, ProgressStream, Work},
 };
@@ -46,6 +47,8 @@
     running: Option<(u32, Guard, ProgressStream)>,
     /// Held while the attempt must be the only suspect on its upstream.
     reservation: Option<reservation::Guard>,
+    /// The latest report of this request as a suspect to the other nodes.
+    report: Option<Report>,
     /// Time of the next tick.
     wake_at: Millis,
 }
@@ -75,6 +78,7 @@
             picked: None,
             running: None,
             reservation: None,
+            report: None,
         }
     }
 
@@ -103,7 +107,9 @@
             let actions = self.request.apply(now, event, &mut node);
             (actions, node.quarantine.take_updates(now))
         };
-        gossip::broadcast(&self.context, updates);
+        if !updates.is_empty() {
+            self.report = Some(Report::start(&self.context, updates));
+        }
         if let Some(loss) = loss {
             let _ = self.context.metrics.incr(loss_metric(loss));
             self.release_lost(loss);
@@ -292,11 +298,19 @@
                 let _ = self.context.metrics.incr(&format!("attempt.ended.{}", error.kind));
                 self.picked = None;
                 self.running = None;
+                self.confirm_report().await;
                 let send = self.progress_tx.send(Err(error));
                 let _ = tokio::time::timeout(ERROR_DELIVERY_TIMEOUT.duration(), send).await;
             }
         }
     }
+
+    /// Waits until the other nodes know that the request is a suspect: the caller may repeat it at
+    /// one of them once it has the error.
+    async fn confirm_report(&mut self) {
+        let Some(report) = self.report.take() else { return };
+        report.wait(self.work.deadline() - self.context.clock.now()).await;
+    }
 }
 
 /// What follows after an event was applied.
--- a/standins/tests/fault_crash.rs
+++ b/standins/tests/fault_crash.rs
@@ -3,20 +3,29 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
+use anyhow::Context;
 use futures_util::future::join_all;
 use http::StatusCode;
-use serde_json::Value;
+use serde_json::{Value, json};
 use standins::{
     client::Call,
     engine::text,
     fleet::{Fleet, Items, MODEL, Outcome, Plan, Program, Result},
     wait::wait_until,
 };
+use tokio::time::timeout;
 
 const ENGINES: usize = 4;
 /// Engines that one request may take down.
 const CRASH_LIMIT: usize = 2;
+/// Time within which a caller must be answered.
+const ANSWER_BOUND: Duration = Duration::from_secs(10);
+/// Time after which a request between nodes fails. Longer than `ANSWER_BOUND`, so that waiting for
+/// the frozen node fails the test.
+const PEER_TIMEOUT_MS: u64 = 60_000;
 const TOKENS: u32 = 60;
+/// Time that a packet to or from a node behind a slow link takes.
+const LINK_DELAY_MS: u64 = 50;
 const PROMPT: &str = "<id:poison> <crash>";
 /// Crashes of engines under one item.
 const ITEM_CRASHES: usize = 4;
@@ -24,8 +33,14 @@
 const AWAY: Duration = Duration::from_millis(800);
 const JOB_BOUND: Duration = Duration::from_secs(30);
 
+fn plan() -> Plan {
+    let mut plan = Plan::new(Program::at(env!("CARGO_BIN_EXE_standin")));
+    plan.engines = ENGINES;
+    plan
+}
+
 async fn send_poison(fleet: &Fleet, node: usize) -> Result<(StatusCode, Value)> {
-    let body = serde_json::json!({
+    let body = json!({
         "model": MODEL,
         "max_tokens": 4,
         "messages": [{ "role": "user", "content": PROMPT }],
@@ -46,9 +61,7 @@
 
 #[tokio::test]
 async fn crashing_request_is_quarantined_and_its_neighbours_finish() -> Result<()> {
-    let mut plan = Plan::new(Program::at(env!("CARGO_BIN_EXE_standin")));
-    plan.engines = ENGINES;
-    Fleet::run(plan, async |fleet| {
+    Fleet::run(plan(), async |fleet| {
         let neighbours = (0..12).map(|index| {
             let caller = fleet.caller(index % fleet.nodes.len());
             tokio::spawn(async move {
@@ -105,6 +118,25 @@
     .await
 }
 
+/// Guards against an answer that reaches the caller before the other nodes know of the crashes:
+/// the caller sends the request again, to a node behind a slow link.
+#[tokio::test]
+async fn quarantine_is_known_behind_a_slow_link_once_the_caller_is_answered() -> Result<()> {
+    let mut plan = plan();
+    plan.proxied.peers = true;
+    Fleet::run(plan, async |fleet| {
+        let proxy = fleet.nodes[1].peer_proxy.as_ref().expect("a proxy");
+        proxy.set(json!({ "delay_ms": LINK_DELAY_MS })).await?;
+        for node in [0, 1] {
+            let (status, body) = send_poison(fleet, node).await?;
+            assert_eq!(status, StatusCode::UNPROCESSABLE_ENTITY, "at node {node}: {body}");
+        }
+        assert_eq!(crashed(fleet), CRASH_LIMIT);
+        Ok(())
+    })
+    .await
+}
+
 /// Guards against giving up an item because engines crashed under it.
 #[tokio::test]
 async fn item_under_which_engines_crashed_is_still_completed() -> Result<()> {
@@ -128,3 +160,21 @@
     })
     .await
 }
+
+/// Guards against a frozen node that holds back the answer, or the news for the other nodes.
+#[tokio::test]
+async fn frozen_node_holds_back_neither_the_answer_nor_the_quarantine() -> Result<()> {
+    let mut plan = plan();
+    plan.node = json!({ "peer": { "timeout_ms": PEER_TIMEOUT_MS } });
+    Fleet::run(plan, async |fleet| {
+        fleet.nodes[1].process.freeze()?;
+        for node in [0, 2] {
+            let answer = timeout(ANSWER_BOUND, send_poison(fleet, node)).await;
+            let (status, body) = answer.context("an answer")??;
+            assert_eq!(status, StatusCode::UNPROCESSABLE_ENTITY, "at node {node}: {body}");
+        }
+        assert_eq!(crashed(fleet), CRASH_LIMIT);
+        Ok(())
+    })
+    .await
+}
