fix(exchange): go on with a request after the upstream that took it over refuses it

Class of fault: a resource is released before its replacement is secured.

Change: such a refusal uses up no attempt, and the silent upstream may be tried again, once for each time that it was silent.

--- a/serving/src/exchange/state.rs
+++ b/serving/src/exchange/state.rs
@@ -73,6 +73,8 @@
     has_begun: bool,
     /// Whether an upstream may have run the request.
     may_have_run: bool,
+    /// The last upstream that was silent for too long.
+    silent: Option<Upstream>,
     /// Upstreams that failed or refused the request and aren't tried again.
     pub excluded: BTreeSet<Upstream>,
 }
@@ -88,6 +90,7 @@
             last_event: None,
             has_begun: false,
             may_have_run: false,
+            silent: None,
             excluded: BTreeSet::new(),
         }
     }
@@ -122,6 +125,7 @@
     /// Records that the upstream with the request has been silent until its silence deadline.
     pub fn record_silence(&mut self, now: Millis, upstream: &Upstream) -> Silence {
         self.excluded.insert(upstream.clone());
+        self.silent = Some(upstream.clone());
         self.may_have_run = true;
         if now >= self.deadline {
             return Silence::End(self.end_at_deadline());
@@ -185,7 +189,8 @@
     }
 
     /// Records a failed send and decides what to do next. A send that didn't reach the upstream
-    /// doesn't count as an attempt.
+    /// doesn't count as an attempt. Nor does a refusal by an upstream that took over from a silent
+    /// one, which may be tried again because it may have gone on if it had kept the request.
     pub fn record_failure(
         &mut self,
         now: Millis,
@@ -193,8 +198,14 @@
         failure: &Failure,
     ) -> Action {
         self.excluded.insert(upstream.clone());
-        if failure.delivery == Delivery::NotSent {
-            self.attempts += 1;
+        let took_over_from = self.silent.take_if(|silent| silent != upstream);
+        match (failure.delivery, took_over_from) {
+            (Delivery::NotSent | Delivery::Refused, Some(silent)) => {
+                self.attempts += 1;
+                self.excluded.remove(&silent);
+            }
+            (Delivery::NotSent, None) => self.attempts += 1,
+            (Delivery::Refused, None) | (Delivery::Sent, _) => {}
         }
         if failure.delivery == Delivery::Sent {
             self.may_have_run = true;
--- a/serving/tests/exchange_state.rs
+++ b/serving/tests/exchange_state.rs
@@ -149,6 +149,26 @@
     assert_eq!(state.record_silence(Millis(1_000), &"silent".into()), Silence::Wait);
 }
 
+/// A request that a silent upstream has lost to another one, which then refuses it, must go on: the
+/// refusal uses up no attempt, and the silent upstream may be tried again, once.
+#[test]
+fn silent_upstream_is_tried_again_after_the_one_that_took_over_refuses() {
+    let (silent, other) = (Upstream::from("silent"), Upstream::from("other"));
+    for delivery in [Delivery::Refused, Delivery::NotSent] {
+        let mut state = state(Kind::Stream { resumable: true }, 2);
+        state.record_send();
+        assert_eq!(state.record_silence(Millis(900), &silent), Silence::FindSuccessor);
+        state.record_send();
+        let next = state.record_failure(Millis(1_400), &other, &failure(delivery));
+        assert_eq!(next, Action::Send { resume_after: None });
+        assert_eq!(state.excluded, [other.clone()].into());
+        state.record_send();
+        let next = state.record_failure(Millis(1_500), &silent, &failure(Delivery::Refused));
+        assert_eq!(next, Action::End(End::Unknown));
+        assert_eq!(state.excluded, [silent.clone(), other.clone()].into());
+    }
+}
+
 /// A request that must run at most once stays with its silent upstream.
 #[test]
 fn at_most_once_request_has_no_successor() {
