--- a/serving/tests/jobs.rs
+++ b/serving/tests/jobs.rs
@@ -428,6 +428,20 @@
     eventually("both nodes own partitions again", || nodes.iter().all(owns_partitions)).await;
 }
 
+/// A node that left the group because it heard no other node must come back once the group has no
+/// other member, or nobody runs the jobs.
+#[tokio::test]
+async fn isolated_node_takes_the_partitions_when_all_others_have_stopped() {
+    let log = Log::new(PARTITIONS);
+    let nodes = [Node::start(&log, 1, 0), Node::start(&log, 2, 0)];
+    eventually("both nodes own partitions", || nodes.iter().all(owns_partitions)).await;
+    nodes[0].silence.store(600, Ordering::Relaxed);
+    eventually("the other node owns all partitions", || nodes[1].group.reports().len() == 4).await;
+    nodes[1].group.leave().await;
+    eventually("the isolated node owns all partitions", || nodes[0].group.reports().len() == 4)
+        .await;
+}
+
 #[tokio::test]
 async fn only_node_keeps_its_partitions_without_messages_from_others() {
     let log = Log::new(PARTITIONS);
