fix(batch): join the group again when an isolated node is its last member

Cause: a node that left the group because it heard no other node joined again only after it heard one. If the others stopped for good meanwhile, or were listed beyond their end while the log was away, no node owned any job. Class of fault: the silence of peers counts as the loss of this node's own place, which is released although nobody takes it.

--- a/serving/src/batch/group.rs
+++ b/serving/src/batch/group.rs
@@ -38,6 +38,9 @@
 /// Number of membership renewals after which the owners of all partitions are looked up again,
 /// while the assignment doesn't change.
 const OWNER_REFRESH_RENEWALS: u32 = 20;
+/// Number of skipped renewals after which a node that left the group because it is isolated looks
+/// again whether the group has members.
+const MEMBERS_CHECK_RENEWALS: u32 = 4;
 
 /// Membership of this node in the consumer group; holds the owners of its partitions.
 pub struct Group {
@@ -135,7 +138,12 @@
             let is_silent = silence().is_some_and(|elapsed| elapsed.0 >= settings.isolation_ms);
             if is_out && is_silent {
                 sleep(Millis(settings.renewal_ms).duration()).await;
-                continue;
+                round += 1;
+                let is_due = round % MEMBERS_CHECK_RENEWALS == 0;
+                if !is_due || self.has_other_members().await.unwrap_or(true) {
+                    continue;
+                }
+                log::info!(group = GROUP; "the group has no members; joining although no other node is heard");
             }
             is_out = is_silent && self.leave_if_isolated().await;
             if is_out {
@@ -187,14 +195,7 @@
     /// message from another node arrives: other nodes then can't reach the owners at this one.
     /// Returns whether the node has left.
     async fn leave_if_isolated(&self) -> bool {
-        let owners = match self.dependencies.store.owners(GROUP, TOPIC).await {
-            Ok(owners) => owners,
-            Err(error) => {
-                log::warn!(group = GROUP, error:% = error; "could not read the owners of partitions");
-                return false;
-            }
-        };
-        if owners.iter().all(|(_, member)| *member == self.member) {
+        if !self.has_other_members().await.unwrap_or(false) {
             return false;
         }
         log::warn!(group = GROUP; "no other node is heard; partitions go to nodes that are");
@@ -206,6 +207,17 @@
         true
     }
 
+    /// Whether other nodes own partitions. `None` if the log can't be read.
+    async fn has_other_members(&self) -> Option<bool> {
+        match self.dependencies.store.owners(GROUP, TOPIC).await {
+            Ok(owners) => Some(owners.iter().any(|(_, member)| *member != self.member)),
+            Err(error) => {
+                log::warn!(group = GROUP, error:% = error; "could not read the owners of partitions");
+                None
+            }
+        }
+    }
+
     /// Reads results of a job directly from the log, for a node that can't reach the job's owner.
     /// `Ok(None)` means that there is no such job.
     ///
