--- a/serving/src/exchange/state.rs
+++ b/serving/src/exchange/state.rs
@@ -198,7 +198,7 @@
         failure: &Failure,
     ) -> Action {
         self.excluded.insert(upstream.clone());
-        let took_over_from = self.silent.take_if(|silent| silent != upstream);
+        let took_over_from = self.silent.take().filter(|silent| silent != upstream);
         match (failure.delivery, took_over_from) {
             (Delivery::NotSent | Delivery::Refused, Some(silent)) => {
                 self.attempts += 1;
@@ -218,6 +218,7 @@
     pub fn record_error_answer(&mut self, now: Millis, upstream: &Upstream) -> bool {
         self.may_have_run = true;
         self.excluded.insert(upstream.clone());
+        self.silent.take_if(|silent| silent == upstream);
         matches!(self.next_action(now), Action::Send { .. })
     }
 
--- a/serving/tests/exchange_state.rs
+++ b/serving/tests/exchange_state.rs
@@ -169,6 +169,28 @@
     }
 }
 
+/// A silent upstream that has failed meanwhile isn't tried again after the one that took over refuses.
+#[test]
+fn silent_upstream_that_failed_is_not_tried_again() {
+    let (silent, other) = (Upstream::from("silent"), Upstream::from("other"));
+    let break_connection = |state: &mut State| {
+        state.record_failure(Millis(1_000), &silent, &failure(Delivery::Sent));
+    };
+    let answer_with_error = |state: &mut State| {
+        state.record_error_answer(Millis(1_000), &silent);
+    };
+    for fail in [&break_connection as &dyn Fn(&mut State), &answer_with_error] {
+        let mut state = state(Kind::Idempotent, 2);
+        state.record_send();
+        assert_eq!(state.record_silence(Millis(900), &silent), Silence::FindSuccessor);
+        state.record_send();
+        fail(&mut state);
+        let next = state.record_failure(Millis(1_400), &other, &failure(Delivery::Refused));
+        assert_eq!(next, Action::End(End::Unknown));
+        assert_eq!(state.excluded, [silent.clone(), other.clone()].into());
+    }
+}
+
 /// A request that must run at most once stays with its silent upstream.
 #[test]
 fn at_most_once_request_has_no_successor() {
