feat(balance): send nothing to an upstream that says it is leaving

New in the platform's protocol: a replica that leaves says so in all its answers (`Server-Leaving: 1`), and a machine that has passed on such an answer must soon send it no more requests. Until now only the registry counted, which may be silent or late.

From then on the node sends nothing to that process: online requests, streams and their resumes, second sends and items of jobs, whatever the registry says of it later. The process is known by its id and start, so that another one under the same id or address serves.

Not in this change: news for the other nodes, and use of leaving upstreams as a last resort.

--- a/serving/src/balance/choice.rs
+++ b/serving/src/balance/choice.rs
@@ -150,7 +150,7 @@
 
     fn add_in_flight(&mut self, now: Millis, upstream: Upstream, class: Class) -> Pick {
         let load = self.replicas[&upstream].load().total();
-        let Entry { address, version, .. } = self.replicas[&upstream].entry.clone();
+        let Entry { address, version, started, .. } = self.replicas[&upstream].entry.clone();
         if let Some(replica) = self.replicas.get_mut(&upstream) {
             match class {
                 Class::Online => replica.own_load.online += 1,
@@ -159,7 +159,7 @@
         }
         let own_load = self.replicas[&upstream].own_load;
         self.update_own_load(&upstream, own_load);
-        Pick { upstream, address, version, class, load, chosen_at: now }
+        Pick { upstream, address, version, started, class, load, chosen_at: now }
     }
 }
 
@@ -175,6 +175,7 @@
     let is_candidate = |upstream: &&&Upstream| {
         let entry = &replicas[**upstream].entry;
         !entry.draining
+            && !replicas[**upstream].is_leaving
             && !criteria.excluded.contains(**upstream)
             && criteria.version.is_none_or(|version| *version == entry.version)
     };
--- a/serving/src/balance/replica.rs
+++ b/serving/src/balance/replica.rs
@@ -29,6 +29,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Replica {
     pub(super) entry: Entry,
+    /// The upstream's process has said in a response that it is about to stop.
+    pub(super) is_leaving: bool,
     /// Requests of this node in flight at the upstream.
     pub(super) own_load: Load,
     /// Sum of the requests in flight that the other nodes last reported.
@@ -52,6 +54,7 @@
     pub(super) fn new(entry: Entry) -> Replica {
         Replica {
             entry,
+            is_leaving: false,
             own_load: Load::default(),
             peer_load: Load::default(),
             full_until: Millis(0),
--- a/serving/src/balance/request.rs
+++ b/serving/src/balance/request.rs
@@ -35,6 +35,8 @@
     pub upstream: Upstream,
     pub address: SocketAddr,
     pub version: Version,
+    /// Start of the upstream's process, as in its entry.
+    pub started: u64,
     pub class: Class,
     /// Requests in flight at the upstream when it was chosen, this one excluded.
     pub load: u32,
--- a/serving/src/balance/state.rs
+++ b/serving/src/balance/state.rs
@@ -23,6 +23,9 @@
     request::{Class, Outcome, Pick},
 };
 
+/// Maximum number of upstreams that are remembered as leaving.
+const MAX_LEAVING: usize = 4_096;
+
 /// Load and health of all upstreams as seen by this node. The cost of choosing an upstream does not
 /// grow with their number, except when all of a service must be checked before a refusal.
 pub struct State {
@@ -37,6 +40,9 @@
     own_loads: Loads,
     /// Upstreams that this node has ejected. May include some whose ejection is over.
     ejected: BTreeSet<Upstream>,
+    /// Start of the process of each upstream that has said that it is leaving. Kept when an entry
+    /// disappears, because it may come back while the process still runs.
+    leaving: BTreeMap<Upstream, u64>,
     /// Latest load update of each other node and the time of its arrival. `Replica::peer_load`
     /// holds the sum of these.
     peer_loads: BTreeMap<Vm, (Millis, Loads)>,
@@ -68,6 +74,7 @@
             services: BTreeMap::new(),
             own_loads: Loads::new(),
             ejected: BTreeSet::new(),
+            leaving: BTreeMap::new(),
             peer_loads: BTreeMap::new(),
             next_expiry: Millis(0),
         }
@@ -94,6 +101,7 @@
         self.remove(upstream);
         let digest = Digest::of(upstream);
         let mut replica = Replica::new(entry.clone());
+        replica.is_leaving = self.leaving.get(upstream) == Some(&entry.started);
         for (_, loads) in self.peer_loads.values() {
             replica.peer_load = replica.peer_load + loads.get(&digest).copied().unwrap_or_default();
         }
@@ -180,6 +188,23 @@
         self.update_own_load(&pick.upstream, own_load);
     }
 
+    /// Records that the process that `pick` names is leaving: it gets no more requests, whatever the
+    /// registry says. Returns whether this was news.
+    pub fn record_leaving(&mut self, pick: &Pick) -> bool {
+        while self.leaving.len() >= MAX_LEAVING {
+            let oldest = self.leaving.iter().min_by_key(|(_, started)| **started);
+            let Some(oldest) = oldest.map(|(upstream, _)| upstream.clone()) else { break };
+            self.leaving.remove(&oldest);
+        }
+        let previous = self.leaving.insert(pick.upstream.clone(), pick.started);
+        if let Some(replica) = self.replicas.get_mut(&pick.upstream)
+            && replica.entry.started == pick.started
+        {
+            replica.is_leaving = true;
+        }
+        previous != Some(pick.started)
+    }
+
     /// Records a failure of an upstream that may still have requests in flight.
     pub fn record_failure(&mut self, now: Millis, upstream: &Upstream) {
         if let Some(replica) = self.replicas.get_mut(upstream) {
@@ -203,7 +228,10 @@
         let mut slots = 0;
         let members = self.services.get(service).into_iter().flat_map(|members| &members.upstreams);
         for replica in members.map(|upstream| &self.replicas[upstream]) {
-            if replica.entry.draining || replica.is_ejected(now, &self.settings) {
+            if replica.entry.draining
+                || replica.is_leaving
+                || replica.is_ejected(now, &self.settings)
+            {
                 continue;
             }
             let load = replica.load();
--- a/serving/src/batch/coordinator.rs
+++ b/serving/src/batch/coordinator.rs
@@ -76,7 +76,7 @@
         };
         let peer = Upstream(address.to_string());
         let options = Options { upstream: &peer, deadline: None, resume_after: None };
-        let answer = self.peers.send(&Passthrough, &request, options, address, true).await;
+        let answer = self.peers.send(&Passthrough, &request, options, address, true, &|_| ()).await;
         let answer = answer.map_err(|error| fail(error.to_string()))?;
         if answer.parts.status != StatusCode::OK {
             return Err(fail(answer.parts.status.to_string()));
--- a/serving/src/batch/run.rs
+++ b/serving/src/batch/run.rs
@@ -122,13 +122,7 @@
         };
         let max_silence = Duration::from_millis(self.settings.silence_ms);
         let context = Arc::clone(&self.context);
-        let sending = context.pool.send(
-            context.codec.as_ref(),
-            &self.request,
-            send,
-            self.permit.pick.address,
-            true,
-        );
+        let sending = context.send(&self.request, send, &self.permit.pick, true);
         let response = tokio::time::timeout(max_silence, sending)
             .await
             .map_err(|_| Failure::timed_out())??;
--- a/serving/src/exchange/driver.rs
+++ b/serving/src/exchange/driver.rs
@@ -428,11 +428,7 @@
                 deadline: Some(remaining),
                 resume_after,
             };
-            let codec = context.codec.as_ref();
-            let answer = context
-                .pool
-                .send(codec, &routed.request, options, pick.address, is_retryable)
-                .await?;
+            let answer = context.send(&routed.request, options, &pick, is_retryable).await?;
             let is_stream = matches!(routed.route.kind, Kind::Stream { .. });
             if !is_stream || !answer.parts.status.is_success() {
                 let body = answer.body.collect().await?;
--- a/serving/src/exchange/task.rs
+++ b/serving/src/exchange/task.rs
@@ -16,7 +16,7 @@
     origins::Origins,
     quarantine::{Fingerprint, Quarantine, Status},
     time::{Clock, Millis},
-    upstream::{Codec, Failure, Pool, Request},
+    upstream::{self, Codec, Failure, Pool, Request},
 };
 
 use super::{
@@ -107,6 +107,33 @@
     }
 }
 
+impl Context {
+    /// Sends a request to the upstream of `pick`, which gets no further requests if it says in its
+    /// response that it is leaving.
+    pub(crate) async fn send(
+        &self,
+        request: &Request,
+        options: upstream::Options<'_>,
+        pick: &Pick,
+        is_retryable: bool,
+    ) -> upstream::Result<upstream::Answer> {
+        let on_head = |head: &upstream::Head| {
+            if head.is_leaving {
+                self.record_leaving(pick);
+            }
+        };
+        let codec = self.codec.as_ref();
+        self.pool.send(codec, request, options, pick.address, is_retryable, &on_head).await
+    }
+
+    fn record_leaving(&self, pick: &Pick) {
+        if self.balance().record_leaving(pick) {
+            self.pool.close_idle(&pick.upstream);
+            log::info!(upstream = pick.upstream.0.as_str(), started = pick.started; "upstream says that it is leaving; it gets no more requests");
+        }
+    }
+}
+
 /// Guard of a request in flight at an upstream. Dropping it ends the request with `outcome`.
 pub(crate) struct Permit {
     context: Arc<Context>,
--- a/serving/src/upstream/call.rs
+++ b/serving/src/upstream/call.rs
@@ -109,7 +109,8 @@
     /// Sends a request and waits for the head of the response.
     ///
     /// `is_retryable` says whether the caller may send a request again that may have run. Requests
-    /// that are not retryable use only recently used or new connections.
+    /// that are not retryable use only recently used or new connections. `on_head` sees the head of
+    /// each response, also of one that this function turns into a failure.
     ///
     /// # Errors
     ///
@@ -121,6 +122,7 @@
         options: Options<'_>,
         address: SocketAddr,
         is_retryable: bool,
+        on_head: &(dyn Fn(&Head) + Sync),
     ) -> Result<Answer> {
         let deadline = options.deadline.map(|timeout| Instant::now() + timeout);
         let mut connection = self
@@ -145,6 +147,7 @@
             return Err(Failure::broken("the upstream switched protocols"));
         }
         let head = codec.decode(&parts);
+        on_head(&head);
         if head.request.as_ref().is_some_and(|id| *id != request.id) {
             return Err(Failure::broken("the answer belongs to another request"));
         }
--- a/serving/src/upstream/mod.rs
+++ b/serving/src/upstream/mod.rs
@@ -59,6 +59,8 @@
     pub keep_alive: Option<Millis>,
     /// The upstream closes the connection after this response.
     pub closes_connection: bool,
+    /// The upstream's process is about to stop, and should get no more requests.
+    pub is_leaving: bool,
 }
 
 /// Translates between requests and responses and the headers of a protocol.
--- a/serving/tests/balance.rs
+++ b/serving/tests/balance.rs
@@ -163,6 +163,35 @@
     assert!(matches!(refusal, Err(Refusal::NoUpstream { .. })), "{refusal:?}");
 }
 
+/// What the registry says, in any order, must not bring back a process that is leaving. Another
+/// process under the same id serves.
+#[test]
+fn upstream_that_says_that_it_leaves_gets_no_requests() {
+    let mut state = state(2);
+    let leaving = choose(&mut state, 0, Class::Online).unwrap();
+    state.finish(Millis(0), &leaving, Outcome::Neutral);
+    let leaving = Pick { upstream: upstream(0), ..leaving };
+    assert!(state.record_leaving(&leaving));
+    assert!(!state.record_leaving(&leaving), "known already");
+    let entries = fleet(2);
+    let first = entries[&upstream(0)].clone();
+    for _ in 0..3 {
+        for _ in 0..5 {
+            let pick = choose(&mut state, 10_000, Class::Batch).unwrap();
+            assert_eq!(pick.upstream, upstream(1));
+            state.finish(Millis(10_000), &pick, Outcome::Succeeded);
+        }
+        state.upsert(&upstream(0), &Entry { draining: true, ..first.clone() });
+        state.upsert(&upstream(0), &first);
+        state.remove(&upstream(0));
+        state.upsert(&upstream(0), &first);
+    }
+    state.remove(&upstream(1));
+    assert!(choose(&mut state, 10_000, Class::Online).is_err());
+    state.upsert(&upstream(0), &Entry { started: 2, ..first });
+    assert_eq!(choose(&mut state, 10_000, Class::Online).unwrap().upstream, upstream(0));
+}
+
 #[test]
 fn failed_upstream_is_avoided_unless_it_is_the_only_one() {
     let mut state = state(2);
