fix(batch): let items wait only behind items of their own service

What callers saw: an item didn't run although its service had room, as long as enough items that were due before it waited for another service, for example one without upstreams after they had crashed. Once all of them were late, that lasted until the others' jobs were abandoned.

Cause: owners start only items that are among the most urgent ones of all partitions, but counted the items of every service as competitors for the slots of one.

Evidence: `items_of_a_service_without_upstreams_hold_up_no_others` failed before: 50 items of a service without upstreams in one partition kept an item of another partition from its idle upstream for 3 s and more.

Change: owners report waiting items by service, and count those of the same service. The gossip message carries this behind its other fields, where a node of an older release ignores it; the report of an older node counts for every service, as before.

--- a/serving/src/batch/owner/items.rs
+++ b/serving/src/batch/owner/items.rs
@@ -72,38 +72,41 @@
     /// have free slots, and reports the items that still wait.
     pub(super) fn schedule(&mut self) {
         let mut services: BTreeMap<Service, Vec<WaitingItem>> = BTreeMap::new();
-        let mut not_started = Vec::new();
         for entry in self.sorted_waiting() {
             let job = self.ledger.job(&entry.item.job);
-            match job.and_then(|job| self.find_route(&job.head)) {
-                Some(route) if self.releasing.is_none() => {
-                    let service = self.select_service(&entry.item, &route);
-                    services.entry(service).or_default().push(entry);
-                }
-                Some(_) | None => not_started.push(entry),
+            let Some(route) = job.and_then(|job| self.find_route(&job.head)) else { continue };
+            let service = self.select_service(&entry.item, &route);
+            services.entry(service).or_default().push(entry);
+        }
+        if self.releasing.is_none() {
+            for (service, waiting) in &mut services {
+                *waiting = self.start_items(service, std::mem::take(waiting));
             }
         }
-        for (service, waiting) in services {
-            let free_slots = self.free_batch_slots(&service);
-            let quota = self.dependencies.coordinator.directory.quota();
-            let ahead = |urgency| quota.count_ahead(self.partition.number, urgency);
-            let count = schedule::count_starts(&waiting, free_slots, ahead);
-            drop(quota);
-            let mut waiting = waiting.into_iter();
-            for entry in waiting.by_ref().take(count) {
-                match self.start_item(entry.item.clone(), &service) {
-                    Start::Started => {}
-                    Start::NoSlotAtVersion => not_started.push(entry),
-                    Start::NoSlot => {
-                        not_started.push(entry);
-                        break;
-                    }
+        self.report_waiting(&services);
+    }
+
+    /// Starts items of a service. Returns the rest of `waiting`, which is sorted by urgency.
+    fn start_items(&mut self, service: &Service, waiting: Vec<WaitingItem>) -> Vec<WaitingItem> {
+        let free_slots = self.free_batch_slots(service);
+        let quota = self.dependencies.coordinator.directory.quota();
+        let ahead = |urgency| quota.count_ahead(self.partition.number, service, urgency);
+        let count = schedule::count_starts(&waiting, free_slots, ahead);
+        drop(quota);
+        let mut not_started = Vec::new();
+        let mut waiting = waiting.into_iter();
+        for entry in waiting.by_ref().take(count) {
+            match self.start_item(entry.item.clone(), service) {
+                Start::Started => {}
+                Start::NoSlotAtVersion => not_started.push(entry),
+                Start::NoSlot => {
+                    not_started.push(entry);
+                    break;
                 }
             }
-            not_started.extend(waiting);
         }
-        not_started.sort();
-        self.report_waiting(&not_started);
+        not_started.extend(waiting);
+        not_started
     }
 
     /// The service that began an item, if its route still has that one, else one by weight.
--- a/serving/src/batch/owner/mod.rs
+++ b/serving/src/batch/owner/mod.rs
@@ -24,7 +24,7 @@
 use crate::{
     catalog::{self, Route},
     exchange::Context,
-    id::Job as JobId,
+    id::{Job as JobId, Service},
     log_store::{self, Error, Partition, Producer},
     time::Millis,
 };
@@ -51,8 +51,8 @@
 const COMMAND_QUEUE: usize = 256;
 /// Capacity of an owner's queue of progress updates from runs; further updates are dropped.
 const PROGRESS_QUEUE: usize = 64;
-/// Maximum number of buckets of waiting items in a report to other owners; the last bucket also
-/// counts all further items.
+/// Maximum number of buckets of waiting items for each service in a report to other owners; the last
+/// bucket also counts all further items.
 const MAX_READY_BUCKETS: usize = 8;
 /// Delay before an append, a claim or a read of the partition is repeated.
 const RETRY_DELAY: Millis = Millis(100);
@@ -277,15 +277,24 @@
     }
 
     /// Reports the waiting items and their tokens, for the other owners and the quotas.
-    fn report_waiting(&self, waiting_items: &[order::WaitingItem]) {
+    fn report_waiting(&self, waiting_items: &BTreeMap<Service, Vec<order::WaitingItem>>) {
         let mut waiting = BTreeMap::new();
         for (_, job) in self.ledger.jobs().filter(|(_, job)| !job.cancelled) {
             if let Some(route) = self.find_route(&job.head) {
                 *waiting.entry(route.id.clone()).or_default() += job.waiting_tokens;
             }
         }
-        let ready = order::bucket_by_urgency(waiting_items, MAX_READY_BUCKETS);
-        let report = Report { epoch: self.producer.epoch, waiting, ready };
+        let mut all: Vec<order::WaitingItem> = waiting_items.values().flatten().cloned().collect();
+        all.sort();
+        let ready = order::bucket_by_urgency(&all, MAX_READY_BUCKETS);
+        let ready_by_service = waiting_items
+            .iter()
+            .filter(|(_, items)| !items.is_empty())
+            .map(|(service, items)| {
+                (service.clone(), order::bucket_by_urgency(items, MAX_READY_BUCKETS))
+            })
+            .collect();
+        let report = Report { epoch: self.producer.epoch, waiting, ready, ready_by_service };
         self.dependencies.coordinator.directory.quota().apply_report(self.partition.number, report);
     }
 
--- a/serving/src/batch/quota.rs
+++ b/serving/src/batch/quota.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    id::{Job, Route},
+    id::{Job, Route, Service},
     time::Millis,
 };
 
@@ -27,8 +27,13 @@
     pub epoch: u64,
     /// Tokens of items without a result, by route.
     pub waiting: BTreeMap<Route, u64>,
-    /// Items that wait to run, the most urgent ones first.
+    /// Items of all services that wait to run, the most urgent ones first. For nodes of a release
+    /// that doesn't know `ready_by_service`.
     pub ready: Vec<order::Bucket>,
+    /// Items that wait to run, by the service that runs them, the most urgent ones first. Gossip
+    /// messages carry it behind their other fields, where older nodes ignore it.
+    #[serde(skip)]
+    pub ready_by_service: BTreeMap<Service, Vec<order::Bucket>>,
 }
 
 /// Decision on a reservation.
@@ -76,13 +81,17 @@
         self.reports.get(&partition)
     }
 
-    /// Counts the items of other partitions that run before items of `partition` with this
-    /// urgency.
-    pub fn count_ahead(&self, partition: u16, urgency: Urgency) -> u32 {
+    /// Counts the items of other partitions that run at `service` before items of `partition` with
+    /// this urgency. Items of other services don't compete for its slots.
+    pub fn count_ahead(&self, partition: u16, service: &Service, urgency: Urgency) -> u32 {
         let mut ahead = 0;
         for (number, report) in self.reports.iter().filter(|(number, _)| **number != partition) {
             let before = |bucket: &&order::Bucket| (bucket.urgency, *number) < (urgency, partition);
-            ahead += report.ready.iter().filter(before).map(|bucket| bucket.count).sum::<u32>();
+            let ready = match report.ready_by_service.is_empty() {
+                true => &report.ready[..],
+                false => report.ready_by_service.get(service).map_or(&[][..], Vec::as_slice),
+            };
+            ahead += ready.iter().filter(before).map(|bucket| bucket.count).sum::<u32>();
         }
         ahead
     }
--- a/serving/src/peers/message.rs
+++ b/serving/src/peers/message.rs
@@ -1,13 +1,13 @@
 //! The gossip datagram that nodes send each other, encoded with postcard.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use serde::{Deserialize, Serialize};
 
 use crate::{
     balance::{Digest, Loads},
-    batch::quota::Report,
-    id::{Incarnation, Vm},
+    batch::{order::Bucket, quota::Report},
+    id::{Incarnation, Service, Vm},
     origins::News,
     quarantine::Suspect,
     time::Millis,
@@ -45,15 +45,21 @@
 
 impl Message {
     pub fn encode(&self) -> Result<Vec<u8>> {
+        let ready = self.owned.iter().map(|(_, report)| &report.ready_by_service);
+        let ready: Vec<&BTreeMap<Service, Vec<Bucket>>> = ready.collect();
         let mut bytes = postcard::to_stdvec(self)?;
-        bytes.extend(postcard::to_stdvec(&self.news)?);
+        bytes.extend(postcard::to_stdvec(&(&self.news, ready))?);
         Ok(bytes)
     }
 
     pub fn decode(bytes: &[u8]) -> Result<Message> {
         let (mut message, rest): (Message, &[u8]) = postcard::take_from_bytes(bytes)?;
         if !rest.is_empty() {
-            message.news = postcard::from_bytes(rest)?;
+            let ready: Vec<BTreeMap<Service, Vec<Bucket>>>;
+            (message.news, ready) = postcard::from_bytes(rest)?;
+            for ((_, report), ready) in message.owned.iter_mut().zip(ready) {
+                report.ready_by_service = ready;
+            }
         }
         Ok(message)
     }
--- a/serving/tests/jobs.rs
+++ b/serving/tests/jobs.rs
@@ -103,6 +103,12 @@
     }
 }
 
+/// A route to a service without upstreams.
+fn idle_route() -> Route {
+    let split = vec![Share { service: "absent".into(), weight: 1 }];
+    Route { id: "idle".into(), prefix: "/idle/".to_string(), split, ..route(0) }
+}
+
 fn head(items: usize) -> Head {
     let item = |index| Item {
         id: format!("item-{index}"),
@@ -167,7 +173,7 @@
             metrics: Arc::new(Metrics::default()),
         };
         let catalog = catalog::Handle::default();
-        catalog.update(Catalog::new(1, Limits::default(), vec![route(quota)]));
+        catalog.update(Catalog::new(1, Limits::default(), vec![route(quota), idle_route()]));
         let settings = Settings {
             partitions: PARTITIONS,
             membership_ms: 400,
@@ -386,6 +392,28 @@
     assert_eq!(page.results.len(), 1, "the item was not run again");
 }
 
+/// Guards against items that wait for room at another service although their own has room.
+#[tokio::test]
+async fn items_of_a_service_without_upstreams_hold_up_no_others() {
+    let log = Log::new(PARTITIONS);
+    let address = start_upstream().await;
+    let node = Node::start_with(&log, 1, 0, Arc::new(NoHeaders), Some(address));
+    let owner = node.owner().await;
+    let other = ["b", "c", "d", "e"]
+        .into_iter()
+        .find(|id| partition_for(id, PARTITIONS) != partition_for("a", PARTITIONS));
+    let other = other.expect("a job in another partition");
+    let Location::Here(other_owner) = node.group.locate(other) else {
+        panic!("the node does not own all partitions")
+    };
+    let waiting = Head { path: "/idle/1".to_string(), ..head(50) };
+    assert_eq!(other_owner.submit(job(other), waiting).await, Ok(Admission::Durable));
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    assert_eq!(owner.submit(job("a"), head(1)).await, Ok(Admission::Durable));
+    let page = owner.read(job("a"), 0, Millis(3_000)).await.unwrap().unwrap();
+    assert_eq!(page.results.len(), 1, "the item did not run");
+}
+
 #[tokio::test]
 async fn fenced_owner_accepts_nothing() {
     let log = Log::new(PARTITIONS);
--- a/serving/tests/order.rs
+++ b/serving/tests/order.rs
@@ -64,26 +64,38 @@
 }
 
 /// Owners that have the same reports together start exactly as many items as there are free slots.
+/// An older node reports the items of all services together.
+#[test]
+fn report_without_services_counts_for_each_service() {
+    let urgency = |due| Urgency { late: false, due };
+    let ready = vec![Bucket { urgency: urgency(50), count: 9 }];
+    let mut state = State::new(2);
+    state.apply_report(1, Report { epoch: 1, ready, ..Report::default() });
+    assert_eq!(state.count_ahead(0, &"model".into(), urgency(200)), 9);
+}
+
 #[test]
 fn owners_share_room_by_urgency() {
     let urgency = |due| Urgency { late: false, due };
     let report = |due, count| Report {
         epoch: 1,
-        ready: vec![Bucket { urgency: urgency(due), count }],
+        ready_by_service: [("model".into(), vec![Bucket { urgency: urgency(due), count }])].into(),
         ..Report::default()
     };
     let mut state = State::new(3);
     state.apply_report(0, report(300, 4));
     state.apply_report(1, report(100, 2));
     state.apply_report(2, report(200, 5));
-    assert_eq!(state.count_ahead(1, urgency(100)), 0);
-    assert_eq!(state.count_ahead(2, urgency(200)), 2);
-    assert_eq!(state.count_ahead(0, urgency(300)), 7);
+    let ahead = |number, due| state.count_ahead(number, &"model".into(), urgency(due));
+    assert_eq!(ahead(1, 100), 0);
+    assert_eq!(ahead(2, 200), 2);
+    assert_eq!(ahead(0, 300), 7);
+    assert_eq!(state.count_ahead(0, &"other".into(), urgency(300)), 0);
     let free_slots = 6;
     let started: u32 = [(0, 300, 4), (1, 100, 2), (2, 200, 5)]
         .into_iter()
         .map(|(number, due, count): (u16, u64, u32)| {
-            count.min(free_slots - state.count_ahead(number, urgency(due)).min(free_slots))
+            count.min(free_slots - ahead(number, due).min(free_slots))
         })
         .sum();
     assert_eq!(started, free_slots);
--- a/serving/tests/peers.rs
+++ b/serving/tests/peers.rs
@@ -6,7 +6,10 @@
 };
 
 use serving::{
-    batch::quota::Report,
+    batch::{
+        order::{Bucket, Urgency},
+        quota::Report,
+    },
     fleet::Software,
     id::Incarnation,
     origins::{Announcement, Digest, News},
@@ -58,6 +61,17 @@
     assert_eq!(Message::decode(&message.encode().unwrap()).unwrap(), message);
 }
 
+#[test]
+fn waiting_items_of_a_service_round_trip_through_encoding() {
+    let urgency = Urgency { late: false, due: 5 };
+    let ready = vec![Bucket { urgency, count: 3 }];
+    let ready_by_service = BTreeMap::from([("model".into(), ready)]);
+    let report = Report { epoch: 9, ready_by_service, ..Report::default() };
+    let owned = vec![(3, Report::default()), (4, report)];
+    let message = Message { owned, ..message(2, 1, 1) };
+    assert_eq!(Message::decode(&message.encode().unwrap()).unwrap(), message);
+}
+
 /// Nodes of two releases exchange their loads during an upgrade, though only one of them sends news.
 #[test]
 fn message_of_an_older_node_has_no_news() {
--- a/serving/tests/quota.rs
+++ b/serving/tests/quota.rs
@@ -24,7 +24,7 @@
 }
 
 fn report(epoch: u64, tokens: u64) -> Report {
-    Report { epoch, waiting: BTreeMap::from([(route(), tokens)]), ready: Vec::new() }
+    Report { epoch, waiting: BTreeMap::from([(route(), tokens)]), ..Report::default() }
 }
 
 fn state_with_reports(tokens: [u64; PARTITIONS as usize]) -> State {
--- a/standins/src/emulator/fleet.rs
+++ b/standins/src/emulator/fleet.rs
@@ -298,8 +298,8 @@
         let mut waiting = self.owners[owner].waiting(now);
         let room = self.nodes[node].balance.free_batch_slots(Millis(now), &self.service);
         let quota = &self.nodes[node].quota;
-        let count =
-            schedule::count_starts(&waiting, room, |urgency| quota.count_ahead(partition, urgency));
+        let ahead = |urgency| quota.count_ahead(partition, &self.service, urgency);
+        let count = schedule::count_starts(&waiting, room, ahead);
         let mut started = 0;
         for entry in &waiting[..count] {
             let class = Class::Batch;
@@ -324,7 +324,7 @@
             started += 1;
         }
         waiting.drain(..started);
-        let report = self.owners[owner].report(&waiting);
+        let report = self.owners[owner].report(&self.service, &waiting);
         self.nodes[node].quota.apply_report(partition, report.clone());
         self.nodes[node].reports.insert(partition, report);
     }
--- a/standins/src/emulator/owner.rs
+++ b/standins/src/emulator/owner.rs
@@ -10,7 +10,7 @@
         quota::Report,
         schedule,
     },
-    id::Upstream,
+    id::{Service, Upstream},
     time::Millis,
 };
 
@@ -76,9 +76,10 @@
         waiting
     }
 
-    pub(super) fn report(&self, waiting: &[WaitingItem]) -> Report {
-        let ready = order::bucket_by_urgency(waiting, REPORTED_GROUPS);
-        Report { epoch: 1, waiting: BTreeMap::new(), ready }
+    pub(super) fn report(&self, service: &Service, waiting: &[WaitingItem]) -> Report {
+        let buckets = order::bucket_by_urgency(waiting, REPORTED_GROUPS);
+        let ready_by_service = BTreeMap::from([(service.clone(), buckets)]);
+        Report { epoch: 1, ready_by_service, ..Report::default() }
     }
 
     pub(super) fn started(&mut self, index: usize, now: u64, pick: Pick) {
