--- a/serving/src/exchange/driver.rs
+++ b/serving/src/exchange/driver.rs
@@ -106,8 +106,9 @@
     pub(super) trace: Trace,
     fingerprint: Fingerprint,
     status: Status,
-    /// Version of the upstream that brought the first event of a stream, which alone may go on with
-    /// the stream. `None` before the first event.
+    /// Version of the upstream that brought the first event of a stream, here or for the request
+    /// that the caller resumes. Only this version may go on with the stream. `None` before the first
+    /// event.
     version: Option<Version>,
     origin: origin::Record,
     /// The run on which the caller's answer depends. `None` until the request is sent, and after a
@@ -178,7 +179,7 @@
             Some(successor) => successor.until,
             None => self.search_at,
         };
-        // A run that is always ready must not keep the time from passing.
+        // A run that always has a next event must not starve the timer.
         if now >= wake_at {
             return Some(Wake::Time);
         }
@@ -346,13 +347,17 @@
         if now < self.state.deadline() && self.successor.is_some() {
             return match current.is_silent {
                 true => {
-                    self.trace.record_failure(&current.permit, "silent, and replaced");
+                    self.trace
+                        .record_failure(&current.permit, "silent until the end of the overlap");
                     self.end_current(Outcome::Neutral);
                     None
                 }
                 false => {
                     let successor = self.successor.take()?;
-                    self.trace.record_failure(&successor.permit, "no answer in time");
+                    self.trace.record_failure(
+                        &successor.permit,
+                        "no answer before the end of the overlap",
+                    );
                     self.release_held()
                 }
             };
--- a/serving/src/exchange/origin.rs
+++ b/serving/src/exchange/origin.rs
@@ -1,4 +1,4 @@
-//! Keeps a stream at the software that began it, across the requests by which its caller resumes it.
+//! Keeps a stream at the software that began it when its caller resumes it.
 
 use std::sync::Arc;
 
--- a/serving/src/exchange/state.rs
+++ b/serving/src/exchange/state.rs
@@ -18,7 +18,7 @@
 /// Minimum time before the deadline for which a request is sent again.
 const MIN_TIME_TO_SEND: Millis = Millis(20);
 /// Maximum time for which a silent upstream keeps a request beside the successor that was asked to
-/// take over. Longer than the connect timeout, so that an unreachable successor replaces nobody;
+/// take over. Longer than the connect timeout, so that an unreachable successor takes over nothing;
 /// shorter than 400 ms, the longest time for which two upstreams may work on one stream.
 const MAX_OVERLAP: Millis = Millis(350);
 /// Interval between searches for a successor while an upstream stays silent.
--- a/serving/src/fleet.rs
+++ b/serving/src/fleet.rs
@@ -92,7 +92,7 @@
     grace_until: Millis,
     /// Time since which no change of the registry was missed.
     followed_since: Option<Millis>,
-    /// When the last upstream of a software disappeared or changed to another one. Includes
+    /// When an upstream with this software last disappeared or changed to another version. Includes
     /// software that other upstreams still run.
     departed: BTreeMap<Software, Millis>,
 }
--- a/serving/src/origins/state.rs
+++ b/serving/src/origins/state.rs
@@ -1,6 +1,6 @@
 //! The origins of streams that this node knows, and its announcements.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
@@ -27,7 +27,7 @@
     }
 }
 
-/// What began a stream.
+/// The software that began a stream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Origin {
     pub software: Software,
@@ -64,8 +64,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct State {
     entries: BTreeMap<Digest, Entry>,
-    /// The same entries by expiry.
-    by_expiry: BTreeMap<(Millis, Digest), ()>,
+    /// Keys of `entries`, by expiry.
+    by_expiry: BTreeSet<(Millis, Digest)>,
     /// Origins to announce and the number of messages that are still to announce them.
     pending: VecDeque<(Digest, u8)>,
 }
@@ -151,13 +151,13 @@
             }
             self.by_expiry.remove(&(known.expires_at, request));
         }
-        self.by_expiry.insert((expires_at, request), ());
+        self.by_expiry.insert((expires_at, request));
         self.entries.insert(request, Entry { origin, expires_at });
         true
     }
 
     fn expire(&mut self, now: Millis) {
-        while let Some((&(expires_at, request), ())) = self.by_expiry.first_key_value() {
+        while let Some(&(expires_at, request)) = self.by_expiry.first() {
             if expires_at > now && self.entries.len() < MAX_ORIGINS {
                 return;
             }
