fix(exchange): record no origin under an empty request id

A resume without `Resumes` is looked up under the hash of an empty id. A stream request without an id recorded its software under the same hash, so that the resume went on at a version that had not begun the stream: 200 from v1 instead of 503.

--- a/serving/src/exchange/origin.rs
+++ b/serving/src/exchange/origin.rs
@@ -81,6 +81,10 @@
             _ if is_resume => return,
             _ => &routed.request.id,
         };
+        // Resumes that don't name their first request are looked up under the empty id.
+        if id.is_empty() {
+            return;
+        }
         let request = Digest::of(id);
         let mut origins = context.origins.state();
         let revision = match (origins.find(now, request), is_resume) {
