--- a/serving/src/exchange/driver.rs
+++ b/serving/src/exchange/driver.rs
@@ -283,7 +283,8 @@
     fn handle_failure(&mut self, failure: Failure) -> Option<Output> {
         let current = self.current.as_ref()?;
         self.trace.record_failure(&current.permit, &failure.message);
-        report_crash(&self.context, self.fingerprint, &current.permit.pick, &failure);
+        let pick = &current.permit.pick;
+        report_crash(&self.context, &self.routed, self.fingerprint, pick, &failure);
         let now = self.context.clock.now();
         let action = self.state.record_failure(now, &current.permit.pick.upstream, &failure);
         let has_successor = self.successor.is_some();
@@ -320,7 +321,7 @@
             }
             Err(failure) => {
                 let pick = &successor.permit.pick;
-                report_crash(&self.context, self.fingerprint, pick, &failure);
+                report_crash(&self.context, &self.routed, self.fingerprint, pick, &failure);
                 failure
             }
         };
--- a/serving/src/exchange/task.rs
+++ b/serving/src/exchange/task.rs
@@ -14,6 +14,7 @@
     id::{Service, Version, Workspace},
     metrics::Metrics,
     origins::Origins,
+    parts::Prompt,
     quarantine::{Fingerprint, Quarantine, Status},
     time::{Clock, Millis},
     upstream::{self, Codec, Failure, Pool, Request},
@@ -59,6 +60,7 @@
     pub last_event: Option<u64>,
     /// Id of the request that brought the first event of the stream that the caller resumes.
     pub resumes: Option<String>,
+    pub prompt: Prompt,
 }
 
 /// Result of a request for its caller.
@@ -193,6 +195,7 @@
 /// afterwards. The connection attempt runs in the background.
 pub(super) fn report_crash(
     context: &Arc<Context>,
+    routed: &Arc<RoutedRequest>,
     fingerprint: Fingerprint,
     pick: &Pick,
     failure: &Failure,
@@ -200,7 +203,7 @@
     if !state::may_be_crash(failure) {
         return;
     }
-    let (context, pick) = (Arc::clone(context), pick.clone());
+    let (context, routed, pick) = (Arc::clone(context), Arc::clone(routed), pick.clone());
     tokio::spawn(async move {
         if context.pool.is_reachable(pick.address).await {
             return;
@@ -209,7 +212,8 @@
         let status = context.quarantine().record_crash(now, fingerprint, &pick.upstream);
         context.pool.close_idle(&pick.upstream);
         log::warn!(
-            upstream = pick.upstream.0.as_str(), verdict:? = status;
+            upstream = pick.upstream.0.as_str(), verdict:? = status,
+            request = routed.request.id.as_str(), parts:% = routed.prompt, sent_at = pick.chosen_at.0;
             "upstream died under a request"
         );
     });
--- a/serving/src/exchange/trace.rs
+++ b/serving/src/exchange/trace.rs
@@ -13,6 +13,8 @@
     request: String,
     route: String,
     service: String,
+    /// Parts of the prompt that other requests may share.
+    parts: String,
     config: u64,
     /// The request that began the stream which this one resumes, or an empty string.
     resumes: String,
@@ -33,6 +35,7 @@
             request: routed.request.id.clone(),
             route: routed.route.id.0.clone(),
             service: routed.service.0.clone(),
+            parts: routed.prompt.to_string(),
             config: routed.config_version,
             resumes: routed.resumes.clone().unwrap_or_default(),
             last_event: routed.last_event.unwrap_or(0),
@@ -102,6 +105,7 @@
             request = self.request.as_str(),
             route = self.route.as_str(),
             service = self.service.as_str(),
+            parts = self.parts.as_str(),
             config = self.config,
             resumes = self.resumes.as_str(),
             last_event = self.last_event,
--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod metrics;
 pub mod node;
 pub mod origins;
+pub mod parts;
 pub mod peers;
 
 pub mod quarantine;
--- a/serving/src/upstream/mod.rs
+++ b/serving/src/upstream/mod.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 
-use crate::time::Millis;
+use crate::{parts::Prompt, time::Millis};
 
 pub use call::{Answer, Body, Delivery, Failure, FailureKind};
 pub use passthrough::Passthrough;
@@ -68,6 +68,9 @@
     /// Returns all headers of the request to the upstream.
     fn encode(&self, request: &Request, options: Options<'_>) -> HeaderMap;
 
+    /// Reads the parts of the prompt from the headers of a request.
+    fn read_prompt(&self, headers: &HeaderMap) -> Prompt;
+
     /// Reads the protocol information from the head of a response.
     fn decode(&self, head: &http::response::Parts) -> Head;
 }
--- a/serving/src/upstream/passthrough.rs
+++ b/serving/src/upstream/passthrough.rs
@@ -5,6 +5,8 @@
     header::{CONNECTION, HOST},
 };
 
+use crate::parts::Prompt;
+
 use super::{Codec, Head, Options, Request};
 
 /// Sends the headers of the request unchanged, plus its host, and accepts every response.
@@ -20,6 +22,10 @@
         headers
     }
 
+    fn read_prompt(&self, _: &HeaderMap) -> Prompt {
+        Prompt::default()
+    }
+
     fn decode(&self, head: &http::response::Parts) -> Head {
         let connection = head.headers.get(CONNECTION).and_then(|value| value.to_str().ok());
         let closes_connection = connection.is_some_and(|value| value.contains("close"));
--- a/serving/tests/jobs.rs
+++ b/serving/tests/jobs.rs
@@ -24,6 +24,7 @@
     log_store::{Partition, Producer, Store},
     metrics::Metrics,
     origins::Origins,
+    parts::Prompt,
     quarantine::Quarantine,
     time::{Clock, Millis},
     upstream::{self, Codec, Options, Pool, Request},
@@ -44,6 +45,10 @@
         HeaderMap::new()
     }
 
+    fn read_prompt(&self, _: &HeaderMap) -> Prompt {
+        Prompt::default()
+    }
+
     fn decode(&self, _: &http::response::Parts) -> upstream::Head {
         upstream::Head::default()
     }
@@ -61,6 +66,10 @@
         HeaderMap::new()
     }
 
+    fn read_prompt(&self, _: &HeaderMap) -> Prompt {
+        Prompt::default()
+    }
+
     fn decode(&self, _: &http::response::Parts) -> upstream::Head {
         upstream::Head::default()
     }
