fix(parts): block a part of prompts that crashes upstreams, at all nodes

Cause: the quarantine identifies a request by a hash of its host, path and body. Requests that share a part of their prompt, and are otherwise not alike, never meet in it, and nothing in serving knew of parts.

Change: `serving::parts` holds what a node believes of each part: a state machine without I/O, merged by gossip. A crash counts against all shared parts of the requests in flight; an answer to a request that was sent afterwards disproves it, for the same software. A part is blocked after three crashes that no answer disproves and no other blocked part explains (five, if the software has answered it before), of different requests and in several rounds, so that a rack that fails blocks nothing. Evidence is a set that grows and a mark that stays, so the order, loss or repetition of messages doesn't matter, and no times of different nodes are compared. Every send is checked, repeats and resumes too; a refused caller gets the time that is left as Retry-After. Memory and messages are bounded, and each change has a log line. Items of batch jobs are no evidence; one with a blocked part runs at most every 5 s, so it is neither lost nor starved.

--- a/serving/src/balance/request.rs
+++ b/serving/src/balance/request.rs
@@ -49,10 +49,23 @@
 pub enum Refusal {
     /// The service has no upstream that takes requests, or the request failed at all of them.
     NoUpstream { retry_after: Millis },
+    /// The prompt holds a part that crashes upstreams.
+    Blocked { retry_after: Millis },
     /// No upstream has capacity to serve one more request in time.
     Full { in_flight: u32, slots: u32, retry_after: Millis },
 }
 
+impl Refusal {
+    /// Delay after which the caller may retry.
+    pub fn retry_after(self) -> Millis {
+        match self {
+            Refusal::NoUpstream { retry_after }
+            | Refusal::Blocked { retry_after }
+            | Refusal::Full { retry_after, .. } => retry_after,
+        }
+    }
+}
+
 /// Result of a request as it affects the health of its upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
--- a/serving/src/batch/owner/items.rs
+++ b/serving/src/batch/owner/items.rs
@@ -14,6 +14,7 @@
     fleet::Software,
     id::{Service, Upstream, Version},
     time::Millis,
+    upstream::Request,
 };
 
 use super::{
@@ -31,11 +32,17 @@
 /// has free slots.
 const RESUME_PATIENCE: Millis = Millis(2_000);
 
+/// Minimum time between the runs of an item whose prompt holds a blocked part. Items are still owed
+/// then, and may run where an online request would be refused.
+const BLOCKED_ITEM_PAUSE: Millis = Millis(5_000);
+
 /// Whether an item was started.
 enum Start {
     Started,
     /// No upstream has a free slot.
     NoSlot,
+    /// The item's prompt holds a blocked part, and the item has not waited long enough.
+    Blocked,
     /// No upstream of the software that began the item has a free slot.
     NoSlotAtVersion,
 }
@@ -98,7 +105,7 @@
         for entry in waiting.by_ref().take(count) {
             match self.start_item(entry.item.clone(), service) {
                 Start::Started => {}
-                Start::NoSlotAtVersion => not_started.push(entry),
+                Start::NoSlotAtVersion | Start::Blocked => not_started.push(entry),
                 Start::NoSlot => {
                     not_started.push(entry);
                     break;
@@ -141,6 +148,9 @@
                 return Start::Started;
             }
         };
+        if self.is_held_back(&item, &request) {
+            return Start::Blocked;
+        }
         let (permit, continues) = match self.choose(&item, service) {
             Ok(chosen) => chosen,
             Err(reason) => return reason,
@@ -168,6 +178,16 @@
         Start::Started
     }
 
+    /// Whether an item has to wait because its prompt holds a blocked part.
+    fn is_held_back(&self, item: &ItemId, request: &Request) -> bool {
+        let context = &self.dependencies.context;
+        let now = context.clock.now();
+        let prompt = context.codec.read_prompt(&request.headers);
+        let waited = self.ledger.waiting_progress(now, item).map(|(_, waited)| waited);
+        waited.is_some_and(|waited| waited < BLOCKED_ITEM_PAUSE)
+            && context.parts().remaining_block(now, &prompt).is_some()
+    }
+
     /// Chooses the upstream for an item. Returns whether the run continues the item's progress; the
     /// item starts over if no upstream of the software that began it is left, or has had a free
     /// slot for `RESUME_PATIENCE`.
--- a/serving/src/exchange/driver.rs
+++ b/serving/src/exchange/driver.rs
@@ -204,7 +204,7 @@
             Err(refusal) => {
                 self.trace.record_refusal(refusal);
                 let end = self.state.end_without_upstream();
-                Some(self.end(end, retry_after(refusal)))
+                Some(self.end(end, refusal.retry_after()))
             }
         }
     }
@@ -236,6 +236,8 @@
             Progress::Event(event) => self.handle_event(event),
             Progress::Complete => {
                 current.permit.outcome = Outcome::Succeeded;
+                let permit = &current.permit;
+                self.context.record_answer(&self.routed, self.fingerprint, permit);
                 self.context.quarantine().record_success(&self.fingerprint);
                 self.trace.finish("completed", "");
                 Some(Output::Complete)
@@ -283,8 +285,8 @@
     fn handle_failure(&mut self, failure: Failure) -> Option<Output> {
         let current = self.current.as_ref()?;
         self.trace.record_failure(&current.permit, &failure.message);
-        let pick = &current.permit.pick;
-        report_crash(&self.context, &self.routed, self.fingerprint, pick, &failure);
+        let permit = &current.permit;
+        report_crash(&self.context, &self.routed, self.fingerprint, permit, &failure);
         let now = self.context.clock.now();
         let action = self.state.record_failure(now, &current.permit.pick.upstream, &failure);
         let has_successor = self.successor.is_some();
@@ -320,8 +322,8 @@
                 return self.answer(parts, body);
             }
             Err(failure) => {
-                let pick = &successor.permit.pick;
-                report_crash(&self.context, &self.routed, self.fingerprint, pick, &failure);
+                let permit = &successor.permit;
+                report_crash(&self.context, &self.routed, self.fingerprint, permit, &failure);
                 failure
             }
         };
@@ -409,7 +411,12 @@
         }
     }
 
+    /// Chooses an upstream for the next send, unless a part of the prompt is blocked by now.
     fn choose(&self) -> Result<Permit, Refusal> {
+        let (now, prompt) = (self.context.clock.now(), &self.routed.prompt);
+        if let Some(retry_after) = self.context.parts().remaining_block(now, prompt) {
+            return Err(Refusal::Blocked { retry_after });
+        }
         let objective = self.routed.route.latency_objective;
         let service = &self.routed.service;
         let version = self.version.as_ref();
@@ -495,6 +502,9 @@
         let has_failed = parts.status.is_server_error();
         self.trace.record_answer(&current.permit, parts.status);
         current.permit.outcome = if has_failed { Outcome::Failed } else { Outcome::Succeeded };
+        if parts.status.is_success() {
+            self.context.record_answer(&self.routed, self.fingerprint, &current.permit);
+        }
         if self.status == Status::Suspect && !has_failed {
             self.context.quarantine().record_success(&self.fingerprint);
         }
@@ -586,9 +596,3 @@
 fn not_resumed(status: http::StatusCode) -> Failure {
     Failure::broken(format!("the upstream answered {status} instead of resuming"))
 }
-
-fn retry_after(refusal: Refusal) -> Millis {
-    match refusal {
-        Refusal::NoUpstream { retry_after } | Refusal::Full { retry_after, .. } => retry_after,
-    }
-}
--- a/serving/src/exchange/task.rs
+++ b/serving/src/exchange/task.rs
@@ -10,11 +10,11 @@
 use crate::{
     balance::{self, Class, Criteria, Outcome, Pick, Refusal},
     catalog::Route,
-    fleet,
-    id::{Service, Version, Workspace},
+    fleet::{self, Software},
+    id::{Process, Service, Version, Workspace},
     metrics::Metrics,
     origins::Origins,
-    parts::Prompt,
+    parts::{self, Prompt},
     quarantine::{Fingerprint, Quarantine, Status},
     time::{Clock, Millis},
     upstream::{self, Codec, Failure, Pool, Request},
@@ -36,6 +36,7 @@
     pub clock: Clock,
     pub balance: Mutex<balance::State>,
     pub quarantine: Mutex<Quarantine>,
+    pub parts: Mutex<parts::State>,
     pub fleet: Arc<Mutex<fleet::State>>,
     pub origins: Arc<Origins>,
     pub pool: Arc<Pool>,
@@ -92,6 +93,34 @@
         self.quarantine.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub fn parts(&self) -> MutexGuard<'_, parts::State> {
+        self.parts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Applies what another node reports about parts of prompts.
+    pub(crate) fn merge_parts(&self, now: Millis, report: parts::Report) {
+        let changes = self.parts().merge(now, report);
+        log_part_changes(&changes);
+    }
+
+    /// Records the complete answer to a request as evidence for the parts of its prompt.
+    pub(super) fn record_answer(
+        &self,
+        routed: &RoutedRequest,
+        fingerprint: Fingerprint,
+        permit: &Permit,
+    ) {
+        let software = permit.software(routed);
+        let attempt = permit.attempt(routed, &software, fingerprint);
+        let changes = self.parts().record_answer(self.clock.now(), attempt);
+        log_part_changes(&changes);
+    }
+
+    fn record_part_crash(&self, now: Millis, attempt: parts::Attempt<'_>, process: Process) {
+        let changes = self.parts().record_crash(now, attempt, process);
+        log_part_changes(&changes);
+    }
+
     /// Chooses an upstream for one send and counts the request as in flight there until the result
     /// is dropped.
     pub(crate) fn choose(
@@ -104,8 +133,10 @@
     ) -> Result<Permit, Refusal> {
         let now = self.clock.now();
         let criteria = Criteria { service, class, excluded, version, objective };
+        let known_crashes = self.parts().revision();
         let pick = self.balance().choose(now, criteria)?;
-        Ok(Permit { context: Arc::clone(self), pick, outcome: Outcome::Neutral })
+        let context = Arc::clone(self);
+        Ok(Permit { context, pick, outcome: Outcome::Neutral, known_crashes })
     }
 }
 
@@ -142,6 +173,28 @@
     pub(crate) pick: Pick,
 
     pub(crate) outcome: Outcome,
+    /// What was known of the parts of prompts when the upstream was chosen.
+    known_crashes: parts::Revision,
+}
+
+impl Permit {
+    fn software(&self, routed: &RoutedRequest) -> Software {
+        Software { service: routed.service.clone(), version: self.pick.version.clone() }
+    }
+
+    fn attempt<'a>(
+        &self,
+        routed: &'a RoutedRequest,
+        software: &'a Software,
+        fingerprint: Fingerprint,
+    ) -> parts::Attempt<'a> {
+        parts::Attempt {
+            prompt: &routed.prompt,
+            software,
+            request: fingerprint.short(),
+            revision: self.known_crashes,
+        }
+    }
 }
 
 impl Drop for Permit {
@@ -197,13 +250,15 @@
     context: &Arc<Context>,
     routed: &Arc<RoutedRequest>,
     fingerprint: Fingerprint,
-    pick: &Pick,
+    permit: &Permit,
     failure: &Failure,
 ) {
     if !state::may_be_crash(failure) {
         return;
     }
-    let (context, routed, pick) = (Arc::clone(context), Arc::clone(routed), pick.clone());
+    let (context, routed, pick) = (Arc::clone(context), Arc::clone(routed), permit.pick.clone());
+    let software = permit.software(&routed);
+    let known_crashes = permit.known_crashes;
     tokio::spawn(async move {
         if context.pool.is_reachable(pick.address).await {
             return;
@@ -211,6 +266,13 @@
         let now = context.clock.now();
         let status = context.quarantine().record_crash(now, fingerprint, &pick.upstream);
         context.pool.close_idle(&pick.upstream);
+        let attempt = parts::Attempt {
+            prompt: &routed.prompt,
+            software: &software,
+            request: fingerprint.short(),
+            revision: known_crashes,
+        };
+        context.record_part_crash(now, attempt, Process::of(&pick.upstream, pick.started));
         log::warn!(
             upstream = pick.upstream.0.as_str(), verdict:? = status,
             request = routed.request.id.as_str(), parts:% = routed.prompt, sent_at = pick.chosen_at.0;
@@ -218,3 +280,28 @@
         );
     });
 }
+
+/// Logs each block and its end, and the changes of the evidence on one line.
+fn log_part_changes(changes: &[parts::Change]) {
+    let (mut suspected, mut disproved) = (Vec::new(), Vec::new());
+    for change in changes {
+        match change {
+            parts::Change::Suspected { part, process, crashes } => {
+                suspected.push(format!("{part} {crashes} ({process})"));
+            }
+            parts::Change::Disproved { part, crashes } => {
+                disproved.push(format!("{part} {crashes}"));
+            }
+            parts::Change::Blocked { part, crashes, remaining } => {
+                log::warn!(part:% = part, crashes = crashes, ms = remaining.0; "part of prompts blocked: upstreams crash under requests with it");
+            }
+            parts::Change::Unblocked { part, crashes } => {
+                log::info!(part:% = part, crashes = crashes; "part of prompts no longer blocked");
+            }
+        }
+    }
+    if !suspected.is_empty() || !disproved.is_empty() {
+        let (suspected, disproved) = (suspected.join(", "), disproved.join(", "));
+        log::info!(suspected = suspected.as_str(), disproved = disproved.as_str(); "crashes per part of prompts changed");
+    }
+}
--- a/serving/src/id.rs
+++ b/serving/src/id.rs
@@ -4,6 +4,7 @@
 
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 macro_rules! string_ids {
     ($($(#[$doc:meta])* $name:ident;)*) => {$(
@@ -100,4 +101,13 @@
     Incarnation(u64);
     /// The index of an item in its job, counted from zero.
     Item(u32);
+    /// One run of an upstream's process: a hash of the upstream's id and the start of the process.
+    Process(u32);
+}
+
+impl Process {
+    /// `started` is the start of the process in Unix milliseconds.
+    pub fn of(upstream: &Upstream, started: u64) -> Process {
+        Process(xxh3_64_with_seed(upstream.0.as_bytes(), started) as u32)
+    }
 }
--- a/serving/src/peers/message.rs
+++ b/serving/src/peers/message.rs
@@ -9,6 +9,7 @@
     batch::{order::Bucket, quota::Report},
     id::{Incarnation, Service, Vm},
     origins::News,
+    parts,
     quarantine::Suspect,
     time::Millis,
 };
@@ -41,6 +42,9 @@
     /// nodes ignore it.
     #[serde(skip)]
     pub news: News,
+    /// What the node reports about parts of prompts. Encoded after the news.
+    #[serde(skip)]
+    pub parts: parts::Report,
 }
 
 impl Message {
@@ -49,6 +53,7 @@
         let ready: Vec<&BTreeMap<Service, Vec<Bucket>>> = ready.collect();
         let mut bytes = postcard::to_stdvec(self)?;
         bytes.extend(postcard::to_stdvec(&(&self.news, ready))?);
+        bytes.extend(postcard::to_stdvec(&self.parts)?);
         Ok(bytes)
     }
 
@@ -56,7 +61,11 @@
         let (mut message, rest): (Message, &[u8]) = postcard::take_from_bytes(bytes)?;
         if !rest.is_empty() {
             let ready: Vec<BTreeMap<Service, Vec<Bucket>>>;
-            (message.news, ready) = postcard::from_bytes(rest)?;
+            let parts: &[u8];
+            ((message.news, ready), parts) = postcard::take_from_bytes(rest)?;
+            if !parts.is_empty() {
+                message.parts = postcard::from_bytes(parts)?;
+            }
             for ((_, report), ready) in message.owned.iter_mut().zip(ready) {
                 report.ready_by_service = ready;
             }
--- a/serving/src/peers/task.rs
+++ b/serving/src/peers/task.rs
@@ -63,6 +63,7 @@
             suspects: self.context.quarantine().most_crashes(now, MAX_SUSPECTS),
             leaving: false,
             news: self.context.origins.state().take_news(now),
+            parts: self.context.parts().take_report(now),
         }
     }
 
@@ -78,6 +79,7 @@
         balance.update_ejections(now, &message.vm, &message.ejected);
         drop(balance);
         self.context.quarantine().merge(now, message.suspects);
+        self.context.merge_parts(now, message.parts);
         self.group.apply_peer_reports(message.address, message.owned);
     }
 }
@@ -92,7 +94,8 @@
         sleep(POLL_INTERVAL.duration()).await;
         let now = gossip.context.clock.now();
         let update = (gossip.context.balance().own_loads().clone(), gossip.group.reports());
-        if now < gossip.state().next_round_at(update != last_update) {
+        let has_changed = update != last_update || gossip.context.parts().has_updates();
+        if now < gossip.state().next_round_at(has_changed) {
             continue;
         }
         for address in gossip.state().expire(now) {
--- a/serving/src/quarantine.rs
+++ b/serving/src/quarantine.rs
@@ -44,6 +44,12 @@
         short.copy_from_slice(&digest[..16]);
         Fingerprint(short)
     }
+
+    /// The first 32 bits.
+    pub fn short(&self) -> u32 {
+        let [a, b, c, d, ..] = self.0;
+        u32::from_be_bytes([a, b, c, d])
+    }
 }
 
 /// How a request may be sent.
--- a/serving/tests/peers.rs
+++ b/serving/tests/peers.rs
@@ -13,6 +13,7 @@
     fleet::Software,
     id::Incarnation,
     origins::{Announcement, Digest, News},
+    parts,
     peers::{Message, Settings, State},
     time::Millis,
 };
@@ -38,6 +39,7 @@
         suspects: Vec::new(),
         leaving: false,
         news: News::default(),
+        parts: parts::Report::default(),
     }
 }
 
--- a/standins/src/emulator/fleet.rs
+++ b/standins/src/emulator/fleet.rs
@@ -201,11 +201,10 @@
         };
         let chosen = match away {
             true => Err(Millis(1_000)),
-            false => self.nodes[node].balance.choose(Millis(now), criteria).map_err(|refusal| {
-                let (balance::Refusal::Full { retry_after, .. }
-                | balance::Refusal::NoUpstream { retry_after }) = refusal;
-                retry_after
-            }),
+            false => {
+                let chosen = self.nodes[node].balance.choose(Millis(now), criteria);
+                chosen.map_err(balance::Refusal::retry_after)
+            }
         };
         match chosen {
             Ok(pick) => {
