fix(quarantine): count crashes of one request against it although many upstreams crash

Five upstreams that crash within 2 s were taken for a rack or link, and their crashes counted against no request. A request that crashes every upstream looks the same. Now a request under which three of these upstreams crashed is quarantined; the rack's test (two crashes of one request) stays. request_that_crashes_five_upstreams_at_once_is_quarantined failed before: Clear instead of Quarantined after the third crash. The list of recent crashes is bounded.

--- a/bulrushspread/tests/quarantine.rs
+++ b/bulrushspread/tests/quarantine.rs
@@ -105,3 +105,18 @@
     assert_eq!(node.record_crash(Millis(200), request, &upstream(4)), Status::Clear);
     assert_eq!(node.record_crash(Millis(300), request, &upstream(5)), Status::Clear);
 }
+
+/// A request that crashes every upstream that runs it is sent again so fast that its crashes look
+/// like the failure of a rack.
+#[test]
+fn request_that_crashes_five_upstreams_at_once_is_quarantined() {
+    let mut node = Quarantine::new(EXPIRY);
+    let request = fingerprint(1);
+    for index in 0..4 {
+        node.record_crash(Millis(100), fingerprint(10 + index), &upstream(index as usize));
+    }
+    for index in 4..6 {
+        assert_eq!(node.record_crash(Millis(200), request, &upstream(index)), Status::Clear);
+    }
+    assert_eq!(node.record_crash(Millis(300), request, &upstream(6)), Status::Quarantined);
+}
--- a/serving/src/quarantine.rs
+++ b/serving/src/quarantine.rs
@@ -5,7 +5,7 @@
 //! while it runs the suspect, the request is quarantined: all nodes refuse the request until the
 //! quarantine expires.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
@@ -24,6 +24,9 @@
 /// Number of upstreams that crash within `CORRELATED_WINDOW` at which the cause is taken to be a
 /// rack or link instead of a request.
 const CORRELATED_CRASHES: usize = 5;
+/// Number of these crashes under one request at which the request is the cause after all. A harmless
+/// one may be sent again to another upstream of the rack, but hardly to a third one.
+const CORRELATED_CRASHES_OF_CAUSE: usize = 3;
 /// Time within which crashes of several upstreams are taken to have a common cause.
 const CORRELATED_WINDOW: Millis = Millis(2_000);
 /// Maximum number of suspects. Beyond it the suspect with the oldest crash is removed.
@@ -85,8 +88,9 @@
     /// Time after its last crash at which a suspect expires.
     keep: Millis,
     suspects: BTreeMap<Fingerprint, Vec<Crash>>,
-    /// Crashes within `CORRELATED_WINDOW`, oldest first, one for each upstream.
-    recent_crashes: VecDeque<Crash>,
+    /// Crashes within `CORRELATED_WINDOW` with the request, oldest first, one for each upstream and
+    /// request. At most `MAX_SUSPECTS`.
+    recent_crashes: VecDeque<(Fingerprint, Crash)>,
     /// Number of upstream crashes while each suspect ran next to other requests. Not sent to other
     /// nodes.
     shared_crashes: BTreeMap<Fingerprint, u32>,
@@ -125,11 +129,15 @@
         upstream: &Upstream,
     ) -> Status {
         let crash = Crash { upstream: upstream.clone(), at: now };
-        if self.record_recent_crash(now, &crash) {
+        let Some(crashes) = self.record_recent_crash(now, fingerprint, crash) else {
             return self.status(now, &fingerprint);
-        }
+        };
         self.expire(now);
-        if self.add_crash(fingerprint, crash) {
+        let mut has_changed = false;
+        for crash in crashes {
+            has_changed |= self.add_crash(fingerprint, crash);
+        }
+        if has_changed {
             let crashes = self.suspects.get(&fingerprint).cloned().unwrap_or_default();
             self.updates.push(Suspect { fingerprint, crashes });
         }
@@ -215,14 +223,33 @@
         true
     }
 
-    /// Records the crash and returns whether so many upstreams crashed together that no request is
-    /// the cause.
-    fn record_recent_crash(&mut self, now: Millis, crash: &Crash) -> bool {
-        self.recent_crashes.retain(|recent| now - recent.at <= CORRELATED_WINDOW);
-        if self.recent_crashes.iter().all(|recent| recent.upstream != crash.upstream) {
-            self.recent_crashes.push_back(crash.clone());
+    /// Records the crash and returns the crashes that count against the request. `None` if so many
+    /// upstreams crashed together that the request is hardly the cause.
+    fn record_recent_crash(
+        &mut self,
+        now: Millis,
+        fingerprint: Fingerprint,
+        crash: Crash,
+    ) -> Option<Vec<Crash>> {
+        self.recent_crashes.retain(|(_, recent)| now - recent.at <= CORRELATED_WINDOW);
+        let is_known = self
+            .recent_crashes
+            .iter()
+            .any(|(request, recent)| *request == fingerprint && recent.upstream == crash.upstream);
+        if !is_known {
+            self.recent_crashes.push_back((fingerprint, crash.clone()));
+            if self.recent_crashes.len() > MAX_SUSPECTS {
+                self.recent_crashes.pop_front();
+            }
+        }
+        let upstreams: BTreeSet<&Upstream> =
+            self.recent_crashes.iter().map(|(_, recent)| &recent.upstream).collect();
+        if upstreams.len() < CORRELATED_CRASHES {
+            return Some(vec![crash]);
         }
-        self.recent_crashes.len() >= CORRELATED_CRASHES
+        let own = self.recent_crashes.iter().filter(|(request, _)| *request == fingerprint);
+        let own: Vec<Crash> = own.map(|(_, recent)| recent.clone()).collect();
+        (own.len() >= CORRELATED_CRASHES_OF_CAUSE).then_some(own)
     }
 
     /// Removes expired suspects, and the oldest ones beyond `MAX_SUSPECTS`.
