fix(exchange): don't take a stream that ends with its connection before an event for complete

What callers could see: 200 with an empty body. An answer may come with neither a length nor chunks and end with its connection. An engine that crashes after the head of such a stream closes the connection, and the node forwarded a complete stream without events; an item ended with an empty output.

--- a/serving/src/batch/run.rs
+++ b/serving/src/batch/run.rs
@@ -134,6 +134,7 @@
         }
         let mut body = response.body;
         let mut splitter = Splitter::default();
+        let mut has_events = false;
         let mut saved = self.progress.events;
         let mut saved_at = Instant::now();
         let mut progressed_at = Instant::now();
@@ -143,14 +144,18 @@
                 .await
                 .map_err(|_| Failure::timed_out())??;
             let Some(bytes) = next else {
-                return match splitter.is_partial() {
-                    true => Err(Failure::broken("the stream ended within an event".to_string())),
-                    false => Ok(RunEnd::Complete),
-                };
+                if splitter.is_partial() {
+                    return Err(Failure::broken("the stream ended within an event"));
+                }
+                if body.is_unframed && !has_events {
+                    return Err(Failure::broken("the connection ended before an event"));
+                }
+                return Ok(RunEnd::Complete);
             };
             splitter.push(&bytes);
             let before = (self.progress.events, self.progress.last_event);
             for event in splitter.by_ref() {
+                has_events = true;
                 self.progress.apply(&event).map_err(Failure::broken)?;
             }
             if (self.progress.events, self.progress.last_event) != before {
--- a/serving/src/exchange/driver.rs
+++ b/serving/src/exchange/driver.rs
@@ -56,6 +56,7 @@
 struct EventStream {
     body: Body,
     splitter: Splitter,
+    has_events: bool,
     /// First event, which is read before the upstream counts as having answered.
     first: Option<Event>,
 }
@@ -447,8 +448,12 @@
                 let body = answer.body.collect().await?;
                 return Ok(Received::Complete { parts: answer.parts, body });
             }
-            let mut source =
-                EventStream { body: answer.body, splitter: Splitter::default(), first: None };
+            let mut source = EventStream {
+                body: answer.body,
+                splitter: Splitter::default(),
+                has_events: false,
+                first: None,
+            };
             source.first = source.next().await?;
             Ok(Received::Stream { parts: answer.parts, source: Box::new(source) })
         })
@@ -549,6 +554,7 @@
         }
         loop {
             if let Some(event) = self.splitter.next() {
+                self.has_events = true;
                 return Ok(Some(event));
             }
             if self.splitter.is_overlong() {
@@ -559,6 +565,9 @@
                 None if self.splitter.is_partial() => {
                     return Err(Failure::broken("the stream ended within an event"));
                 }
+                None if self.body.is_unframed && !self.has_events => {
+                    return Err(Failure::broken("the connection ended before an event"));
+                }
                 None => return Ok(None),
             }
         }
--- a/serving/src/upstream/call.rs
+++ b/serving/src/upstream/call.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as _, Incoming};
 use tokio::{sync::OwnedSemaphorePermit, time::Instant};
@@ -102,6 +103,9 @@
     connection: Option<Connection>,
     keep_alive: Option<Duration>,
     closes_connection: bool,
+    /// The body has neither a length nor chunks: it ends with the connection, as it also does if the
+    /// upstream crashes.
+    pub(crate) is_unframed: bool,
     deadline: Option<Instant>,
 }
 
@@ -157,6 +161,9 @@
                 "another upstream has the address",
             ));
         }
+        let headers = &parts.headers;
+        let is_unframed =
+            !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING);
         let body = Body {
             incoming,
             pool: Arc::clone(self),
@@ -165,6 +172,7 @@
             connection: Some(connection),
             keep_alive: head.keep_alive.map(|span| span.duration()),
             closes_connection: head.closes_connection,
+            is_unframed,
             deadline,
         };
         if head.not_run {
