fix(balance): keep the rate limit that an upstream names, by all nodes together

Cause: nothing read the limit, and each of a dozen nodes sends only a fraction of it.

Change: all nodes keep the same allowance for each process of an upstream, without a coordinator. It grows at the rate of the limit and shrinks with each send of any node: first, repeated, resumed and hedged ones and those of items, which all pass through `choose`. Nodes tell each other by gossip their count of sends, their demand, and the limit in their own last response; so a node learns of a limit before its own first answer, and counters make up for lost messages. A request is admitted at random, the more likely the greater the allowance and the smaller the demand of all nodes, so shares follow the demand and few sends happen before the others know of them. Batch requests get only what online ones leave. What isn't admitted goes to another upstream, or is refused at once with a Retry-After that spreads the returns over the time that the limits need for them. A response without a limit ends it; a limit belongs to a process, not to an address or id. Rule for odd values: a single finite decimal number that isn't negative, else the response changes nothing and is logged once. At least one request in ten seconds is allowed, so that the end of a limit of 0 is learned.

--- a/serving/src/balance/choice.rs
+++ b/serving/src/balance/choice.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     fleet::Entry,
-    id::{Service, Upstream},
+    id::{Process, Service, Upstream},
     time::Millis,
 };
 
@@ -20,6 +20,9 @@
     request::{Class, Criteria, Pick, Refusal},
 };
 
+/// Decisions of rate limits on one request.
+type Admissions = BTreeMap<Process, bool>;
+
 /// Maximum number of upstreams in a sample. Services with no more upstreams than this are compared
 /// as a whole.
 const SAMPLE_SIZE: usize = 12;
@@ -35,12 +38,14 @@
     pub fn choose(&mut self, now: Millis, criteria: Criteria<'_>) -> Result<Pick, Refusal> {
         self.expire(now);
         let favourites = self.favourites(criteria.service);
+        let mut admissions = Admissions::new();
         let known =
             self.services.get(criteria.service).map_or(0, |members| members.upstreams.len());
         if known > SAMPLE_SIZE {
             let sample = self.sample(criteria.service, &favourites);
             let sample: Vec<&Upstream> = sample.iter().collect();
             let eligible = eligible(&self.replicas, now, criteria, &sample, &self.settings);
+            let eligible = self.admitted(now, criteria, eligible, &mut admissions);
             let tie_breakers = self.tie_breakers(eligible.len());
             if let Some(upstream) =
                 self.least_loaded(now, criteria, &favourites, &eligible, &tie_breakers)
@@ -58,9 +63,15 @@
         if eligible.is_empty() {
             return Err(Refusal::NoUpstream { retry_after: self.retry_after() });
         }
+        let eligible: Vec<Upstream> = eligible.into_iter().cloned().collect();
+        let eligible = self.admitted(now, criteria, eligible.iter().collect(), &mut admissions);
         let Some(upstream) =
             self.least_loaded(now, criteria, &favourites, &eligible, &tie_breakers)
         else {
+            if admissions.values().any(|is_admitted| !is_admitted) {
+                let retry_after = self.limited_retry_after(now, criteria.service);
+                return Err(Refusal::Limited { retry_after });
+            }
             let retry_after = self.retry_after();
             let (load, slots) = self.occupancy(now, criteria.service);
             return Err(Refusal::Full { in_flight: load.total(), slots, retry_after });
@@ -68,6 +79,35 @@
         Ok(self.add_in_flight(now, upstream, criteria.class))
     }
 
+    /// Those of `upstreams` whose rate limit admits the request. Each upstream with capacity is asked
+    /// once for each request; `admissions` holds the decisions so far.
+    fn admitted<'a>(
+        &mut self,
+        now: Millis,
+        criteria: Criteria<'_>,
+        mut upstreams: Vec<&'a Upstream>,
+        admissions: &mut Admissions,
+    ) -> Vec<&'a Upstream> {
+        let service_mean = self
+            .services
+            .get(criteria.service)
+            .map(|members| members.mean_duration)
+            .unwrap_or_default();
+        upstreams.retain(|upstream| {
+            let replica = &self.replicas[*upstream];
+            if self.limits.rate(replica.process).is_none()
+                || !replica.has_capacity(now, criteria, service_mean, &self.settings)
+            {
+                return true;
+            }
+            *admissions.entry(replica.process).or_insert_with(|| {
+                let draw = self.rng.random();
+                self.limits.admit(now, replica.process, criteria.class, draw)
+            })
+        });
+        upstreams
+    }
+
     /// The favourites and a few upstreams selected at random, so that nodes that act on the same
     /// load updates don't all choose the same upstream.
     fn sample(&mut self, service: &Service, favourites: &BTreeSet<Upstream>) -> Vec<Upstream> {
@@ -157,6 +197,8 @@
                 Class::Batch => replica.own_load.batch += 1,
             }
         }
+        let process = self.replicas[&upstream].process;
+        self.limits.record_send(now, process);
         let own_load = self.replicas[&upstream].own_load;
         self.update_own_load(&upstream, own_load);
         Pick { upstream, address, version, started, class, load, chosen_at: now }
--- a/serving/src/balance/mod.rs
+++ b/serving/src/balance/mod.rs
@@ -2,12 +2,14 @@
 //! in time.
 
 mod choice;
+mod limit;
 mod load;
 mod replica;
 mod request;
 mod settings;
 mod state;
 
+pub use limit::{Change as LimitChange, ParseError, Rate, Report as LimitReport, Result};
 pub use load::{Digest, Load, Loads};
 pub use request::{Class, Criteria, Outcome, Pick, Refusal};
 pub use settings::Settings;
--- a/serving/src/balance/replica.rs
+++ b/serving/src/balance/replica.rs
@@ -2,7 +2,11 @@
 
 use std::collections::BTreeMap;
 
-use crate::{fleet::Entry, id::Vm, time::Millis};
+use crate::{
+    fleet::Entry,
+    id::{Process, Vm},
+    time::Millis,
+};
 
 use super::{Class, Load, Settings, request::Criteria};
 
@@ -29,6 +33,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Replica {
     pub(super) entry: Entry,
+    pub(super) process: Process,
     /// The upstream's process has said in a response that it is about to stop.
     pub(super) is_leaving: bool,
     /// Requests of this node in flight at the upstream.
@@ -51,9 +56,10 @@
 }
 
 impl Replica {
-    pub(super) fn new(entry: Entry) -> Replica {
+    pub(super) fn new(process: Process, entry: Entry) -> Replica {
         Replica {
             entry,
+            process,
             is_leaving: false,
             own_load: Load::default(),
             peer_load: Load::default(),
--- a/serving/src/balance/request.rs
+++ b/serving/src/balance/request.rs
@@ -51,6 +51,8 @@
     NoUpstream { retry_after: Millis },
     /// The prompt holds a part that crashes upstreams.
     Blocked { retry_after: Millis },
+    /// The upstreams with capacity limit the rate of their requests, and the rate is used up.
+    Limited { retry_after: Millis },
     /// No upstream has capacity to serve one more request in time.
     Full { in_flight: u32, slots: u32, retry_after: Millis },
 }
@@ -61,6 +63,7 @@
         match self {
             Refusal::NoUpstream { retry_after }
             | Refusal::Blocked { retry_after }
+            | Refusal::Limited { retry_after }
             | Refusal::Full { retry_after, .. } => retry_after,
         }
     }
--- a/serving/src/balance/state.rs
+++ b/serving/src/balance/state.rs
@@ -12,17 +12,21 @@
 
 use crate::{
     fleet::Entry,
-    id::{DataCentre, Service, Upstream, Vm},
+    id::{DataCentre, Incarnation, Process, Service, Upstream, Vm},
     time::Millis,
 };
 
 use super::{
-    Settings,
+    LimitChange, LimitReport, Rate, Settings,
+    limit::Limits,
     load::{Digest, Load, Loads},
     replica::{MeanDuration, Replica},
     request::{Class, Outcome, Pick},
 };
 
+/// Maximum random addition to the delay after which a caller may retry that was refused because of
+/// rate limits.
+const MAX_RETRY_SPREAD: Millis = Millis(10_000);
 /// Maximum number of upstreams that are remembered as leaving.
 const MAX_LEAVING: usize = 4_096;
 
@@ -46,6 +50,8 @@
     /// Latest load update of each other node and the time of its arrival. `Replica::peer_load`
     /// holds the sum of these.
     peer_loads: BTreeMap<Vm, (Millis, Loads)>,
+    /// Kept when an entry disappears, because it may come back while the process still runs.
+    pub(super) limits: Limits,
     /// Earliest time at which a load update can expire.
     next_expiry: Millis,
 }
@@ -76,6 +82,7 @@
             ejected: BTreeSet::new(),
             leaving: BTreeMap::new(),
             peer_loads: BTreeMap::new(),
+            limits: Limits::default(),
             next_expiry: Millis(0),
         }
     }
@@ -100,7 +107,8 @@
         }
         self.remove(upstream);
         let digest = Digest::of(upstream);
-        let mut replica = Replica::new(entry.clone());
+        let process = Process::of(upstream, entry.started);
+        let mut replica = Replica::new(process, entry.clone());
         replica.is_leaving = self.leaving.get(upstream) == Some(&entry.started);
         for (_, loads) in self.peer_loads.values() {
             replica.peer_load = replica.peer_load + loads.get(&digest).copied().unwrap_or_default();
@@ -205,6 +213,33 @@
         previous != Some(pick.started)
     }
 
+    /// Records the rate limit in a response of the process that `pick` names; `None` if the response
+    /// names none.
+    pub fn record_limit(
+        &mut self,
+        now: Millis,
+        pick: &Pick,
+        rate: Option<Rate>,
+    ) -> Option<LimitChange> {
+        self.limits.record_answer(now, Process::of(&pick.upstream, pick.started), rate)
+    }
+
+    /// Applies the reports of another node about rate limits, with the changes that they bring.
+    pub fn update_limits(
+        &mut self,
+        now: Millis,
+        vm: &Vm,
+        incarnation: Incarnation,
+        reports: Vec<LimitReport>,
+    ) -> Vec<(Process, LimitChange)> {
+        self.limits.merge(now, vm, incarnation, reports)
+    }
+
+    /// Reports of this node about rate limits.
+    pub fn own_limits(&mut self, now: Millis) -> Vec<LimitReport> {
+        self.limits.reports(now)
+    }
+
     /// Records a failure of an upstream that may still have requests in flight.
     pub fn record_failure(&mut self, now: Millis, upstream: &Upstream) {
         if let Some(replica) = self.replicas.get_mut(upstream) {
@@ -305,6 +340,20 @@
         }
     }
 
+    /// Delay after which a caller may retry that was refused because of rate limits. Callers return
+    /// over the time that the limited upstreams of the service take to serve those that were refused
+    /// within a second.
+    pub(super) fn limited_retry_after(&mut self, now: Millis, service: &Service) -> Millis {
+        let members = self.services.get(service).into_iter().flat_map(|members| &members.upstreams);
+        let processes = members.map(|upstream| self.replicas[upstream].process);
+        let (demand, rate) = self.limits.pressure(now, processes);
+        let excess_s = if rate > 0.0 { (demand - rate).max(0.0) / rate } else { 0.0 };
+        let spread_ms = (excess_s * 1_000.0) as u64;
+        let spread_ms = spread_ms.clamp(self.settings.retry_spread_ms, MAX_RETRY_SPREAD.0);
+        let spread = self.rng.random_range(0..=spread_ms);
+        Millis(self.settings.retry_after_ms + spread)
+    }
+
     /// Delay after which a refused caller may retry, with random jitter so that callers don't all
     /// retry at once.
     pub fn retry_after(&mut self) -> Millis {
--- a/serving/src/exchange/task.rs
+++ b/serving/src/exchange/task.rs
@@ -11,7 +11,7 @@
     balance::{self, Class, Criteria, Outcome, Pick, Refusal},
     catalog::Route,
     fleet::{self, Software},
-    id::{Process, Service, Version, Workspace},
+    id::{Incarnation, Process, Service, Version, Vm, Workspace},
     metrics::Metrics,
     origins::Origins,
     parts::{self, Prompt},
@@ -154,11 +154,43 @@
             if head.is_leaving {
                 self.record_leaving(pick);
             }
+            if head.belongs_to(request) {
+                self.record_limit(pick, head.limit);
+            }
         };
         let codec = self.codec.as_ref();
         self.pool.send(codec, request, options, pick.address, is_retryable, &on_head).await
     }
 
+    /// Records the rate limit in a response of the upstream of `pick`. A response that names
+    /// something invalid neither sets nor ends a limit.
+    fn record_limit(&self, pick: &Pick, limit: upstream::Limit) {
+        let rate = match limit {
+            upstream::Limit::None => None,
+            upstream::Limit::Rate(rate) => Some(rate),
+            upstream::Limit::Invalid => return,
+        };
+        let change = self.balance().record_limit(self.clock.now(), pick, rate);
+        let process = Process::of(&pick.upstream, pick.started);
+        if let Some(change) = change {
+            log_limit_change(process, change, &format!("response of {}", pick.upstream));
+        }
+    }
+
+    /// Applies what another node reports about rate limits.
+    pub(crate) fn merge_limits(
+        &self,
+        now: Millis,
+        vm: &Vm,
+        incarnation: Incarnation,
+        reports: Vec<balance::LimitReport>,
+    ) {
+        let changes = self.balance().update_limits(now, vm, incarnation, reports);
+        for (process, change) in changes {
+            log_limit_change(process, change, &format!("report of {vm}"));
+        }
+    }
+
     fn record_leaving(&self, pick: &Pick) {
         if self.balance().record_leaving(pick) {
             self.pool.close_idle(&pick.upstream);
@@ -305,3 +337,14 @@
         log::info!(suspected = suspected.as_str(), disproved = disproved.as_str(); "crashes per part of prompts changed");
     }
 }
+
+fn log_limit_change(process: Process, change: balance::LimitChange, source: &str) {
+    match change {
+        balance::LimitChange::Named(rate) => {
+            log::info!(process:% = process, rate:% = rate, source = source; "upstream limits the rate of its requests");
+        }
+        balance::LimitChange::Ended => {
+            log::info!(process:% = process, source = source; "upstream no longer limits the rate of its requests");
+        }
+    }
+}
--- a/serving/src/peers/message.rs
+++ b/serving/src/peers/message.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    balance::{Digest, Loads},
+    balance::{Digest, LimitReport, Loads},
     batch::{order::Bucket, quota::Report},
     id::{Incarnation, Service, Vm},
     origins::News,
@@ -17,7 +17,7 @@
 pub type Result<T> = std::result::Result<T, postcard::Error>;
 
 /// The complete gossip state of a node.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Message {
     pub vm: Vm,
     pub incarnation: Incarnation,
@@ -45,6 +45,9 @@
     /// What the node reports about parts of prompts. Encoded after the news.
     #[serde(skip)]
     pub parts: parts::Report,
+    /// What the node reports about rate limits of upstreams. Encoded last.
+    #[serde(skip)]
+    pub limits: Vec<LimitReport>,
 }
 
 impl Message {
@@ -53,18 +56,19 @@
         let ready: Vec<&BTreeMap<Service, Vec<Bucket>>> = ready.collect();
         let mut bytes = postcard::to_stdvec(self)?;
         bytes.extend(postcard::to_stdvec(&(&self.news, ready))?);
-        bytes.extend(postcard::to_stdvec(&self.parts)?);
+        bytes.extend(postcard::to_stdvec(&(&self.parts, &self.limits))?);
         Ok(bytes)
     }
 
     pub fn decode(bytes: &[u8]) -> Result<Message> {
-        let (mut message, rest): (Message, &[u8]) = postcard::take_from_bytes(bytes)?;
+        let (mut message, mut rest): (Message, &[u8]) = postcard::take_from_bytes(bytes)?;
         if !rest.is_empty() {
-            let ready: Vec<BTreeMap<Service, Vec<Bucket>>>;
-            let parts: &[u8];
-            ((message.news, ready), parts) = postcard::take_from_bytes(rest)?;
-            if !parts.is_empty() {
-                message.parts = postcard::from_bytes(parts)?;
+            let ready;
+            let news: (News, Vec<BTreeMap<Service, Vec<Bucket>>>);
+            (news, rest) = postcard::take_from_bytes(rest)?;
+            (message.news, ready) = news;
+            if !rest.is_empty() {
+                (message.parts, message.limits) = postcard::from_bytes(rest)?;
             }
             for ((_, report), ready) in message.owned.iter_mut().zip(ready) {
                 report.ready_by_service = ready;
--- a/serving/src/peers/task.rs
+++ b/serving/src/peers/task.rs
@@ -51,19 +51,24 @@
         now: Millis,
     ) -> Message {
         let (loads, owned) = update;
+        let (ejected, limits) = {
+            let mut balance = self.context.balance();
+            (balance.own_ejections(now), balance.own_limits(now))
+        };
         Message {
             vm: self.vm.clone(),
             incarnation: self.incarnation,
             sequence,
             address: self.address,
             loads,
-            ejected: self.context.balance().own_ejections(now),
+            ejected,
             owned,
             peers,
             suspects: self.context.quarantine().most_crashes(now, MAX_SUSPECTS),
             leaving: false,
             news: self.context.origins.state().take_news(now),
             parts: self.context.parts().take_report(now),
+            limits,
         }
     }
 
@@ -80,6 +85,7 @@
         drop(balance);
         self.context.quarantine().merge(now, message.suspects);
         self.context.merge_parts(now, message.parts);
+        self.context.merge_limits(now, &message.vm, message.incarnation, message.limits);
         self.group.apply_peer_reports(message.address, message.owned);
     }
 }
--- a/serving/src/upstream/mod.rs
+++ b/serving/src/upstream/mod.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 
-use crate::{parts::Prompt, time::Millis};
+use crate::{balance::Rate, parts::Prompt, time::Millis};
 
 pub use call::{Answer, Body, Delivery, Failure, FailureKind};
 pub use passthrough::Passthrough;
@@ -45,7 +45,7 @@
 }
 
 /// Protocol information from the head of a response, as decoded by a [`Codec`].
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Head {
     /// ID of the request that the response belongs to, if the upstream echoed one.
     pub request: Option<String>,
@@ -61,6 +61,26 @@
     pub closes_connection: bool,
     /// The upstream's process is about to stop, and should get no more requests.
     pub is_leaving: bool,
+    pub limit: Limit,
+}
+
+impl Head {
+    /// Whether the upstream has answered this request, and not another one or in place of another
+    /// upstream.
+    pub(crate) fn belongs_to(&self, request: &Request) -> bool {
+        !self.misdirected && self.request.as_ref().is_none_or(|id| *id == request.id)
+    }
+}
+
+/// What a response says about the rate of requests that the upstream takes from all nodes together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Limit {
+    /// The response names no limit.
+    #[default]
+    None,
+    Rate(Rate),
+    /// The response names something that is no rate.
+    Invalid,
 }
 
 /// Translates between requests and responses and the headers of a protocol.
--- a/serving/tests/peers.rs
+++ b/serving/tests/peers.rs
@@ -40,6 +40,7 @@
         leaving: false,
         news: News::default(),
         parts: parts::Report::default(),
+        limits: Vec::new(),
     }
 }
 
