--- a/serving/src/balance/replica.rs
+++ b/serving/src/balance/replica.rs
@@ -8,7 +8,7 @@
     time::Millis,
 };
 
-use super::{Class, Load, Settings, request::Criteria};
+use super::{Class, Load, Rate, Settings, request::Criteria};
 
 /// Weight of the latest request in the moving average of the failure rate.
 const FAILURE_RATE_WEIGHT: f64 = 0.2;
@@ -119,6 +119,14 @@
         Some((online - slots + 1.0) * run_ms / slots)
     }
 
+    /// Number of slots that online requests at `rate` fill. `service_mean` is the run time of requests
+    /// in the service, for an upstream without a measurement of its own.
+    pub(super) fn slots_at(&self, rate: Rate, service_mean: MeanDuration) -> u32 {
+        let Some(run_ms) = self.mean_duration.0.or(service_mean.0) else { return self.entry.slots };
+        let filled = (rate.per_second() * run_ms / 1_000.0).ceil();
+        self.entry.slots.min(filled as u32)
+    }
+
     /// Run time at this upstream relative to the service, or 1 if either is unknown.
     pub(super) fn slowdown(&self, service_mean: MeanDuration) -> f64 {
         match (self.mean_duration.0, service_mean.0) {
--- a/serving/src/balance/state.rs
+++ b/serving/src/balance/state.rs
@@ -257,12 +257,14 @@
     }
 
     /// Requests in flight and slots, summed over the upstreams of `service` that are neither
-    /// draining nor ejected.
+    /// draining nor ejected. An upstream that limits the rate of its requests counts with the slots
+    /// that requests at this rate fill.
     pub fn occupancy(&self, now: Millis, service: &Service) -> (Load, u32) {
         let mut sum = Load::default();
         let mut slots = 0;
-        let members = self.services.get(service).into_iter().flat_map(|members| &members.upstreams);
-        for replica in members.map(|upstream| &self.replicas[upstream]) {
+        let Some(members) = self.services.get(service) else { return (sum, slots) };
+        let mean_duration = members.mean_duration;
+        for replica in members.upstreams.iter().map(|upstream| &self.replicas[upstream]) {
             if replica.entry.draining
                 || replica.is_leaving
                 || replica.is_ejected(now, &self.settings)
@@ -271,7 +273,10 @@
             }
             let load = replica.load();
             sum = sum + load;
-            slots += replica.entry.slots;
+            slots += match self.limits.rate(replica.process) {
+                Some(rate) => replica.slots_at(rate, mean_duration),
+                None => replica.entry.slots,
+            };
         }
         (sum, slots)
     }
--- a/serving/tests/balance.rs
+++ b/serving/tests/balance.rs
@@ -7,7 +7,7 @@
     test_runner::{Config, RngSeed},
 };
 use serving::{
-    balance::{Class, Criteria, Digest, Load, Outcome, Pick, Refusal, Settings, State},
+    balance::{Class, Criteria, Digest, Load, Outcome, Pick, Rate, Refusal, Settings, State},
     fleet::Entry,
     id::{DataCentre, Service, Upstream, Vm},
     time::Millis,
@@ -403,3 +403,24 @@
     }
     assert_eq!(count_admitted(&mut state, 900_000), 2 * SLOTS);
 }
+
+/// An upstream that takes few requests a second has few slots for batch requests, whatever its
+/// registry entry says.
+#[test]
+fn slots_of_a_limited_upstream_are_not_free_for_batch() {
+    let mut state = state(2);
+    for now in 0..4 {
+        let pick = choose(&mut state, now, Class::Online).unwrap();
+        state.finish(Millis(now + 500), &pick, Outcome::Succeeded);
+        if now == 3 {
+            let rate = Rate::new(4.0).unwrap();
+            state.record_limit(Millis(now), &pick, Some(rate));
+        }
+    }
+    // Requests of some 500 ms at 4 a second fill two slots.
+    let free = state.free_batch_slots(Millis(1_000), &Service::from("model"));
+    assert_eq!(
+        free,
+        ((f64::from(SLOTS) + 2.0) * (1.0 - Settings::default().online_reserve)) as u32
+    );
+}
