fix(parts): bound the queue of parts to report

Found by reading: each change of a part adds it to the queue, also when the part was removed for lack of space meanwhile, so the queue grew without bound under a caller that invents parts, and a part with two places in it counted its messages below zero (a panic in debug builds, 255 messages in release builds). evidence_that_comes_again_is_reported and the new check of invented_parts_keep_memory_and_reports_bounded failed before: 'attempt to subtract with overflow', and more messages than 1,024 parts need.

--- a/serving/src/parts/state.rs
+++ b/serving/src/parts/state.rs
@@ -191,7 +191,7 @@
     by_answer: BTreeMap<u64, (Part, SoftwareDigest)>,
     answers: u64,
     revision: Revision,
-    /// Parts with changes to report.
+    /// Parts with changes to report. At most [`MAX_PARTS`].
     pending: VecDeque<Part>,
     next_repeat: Millis,
 }
@@ -368,6 +368,10 @@
         for _ in 0..self.pending.len().min(MAX_REPORTED) {
             let Some(part) = self.pending.pop_front() else { break };
             let Some(entry) = self.entries.get_mut(&part) else { continue };
+            // Evidence that was removed and came again has two places in the queue.
+            if entry.announcements == 0 {
+                continue;
+            }
             entry.announcements -= 1;
             if entry.announcements > 0 {
                 self.pending.push_back(part);
@@ -413,10 +417,18 @@
 
     fn announce(&mut self, part: Part) {
         let Some(entry) = self.entries.get_mut(&part) else { return };
-        if entry.announcements == 0 {
-            self.pending.push_back(part);
-        }
+        let is_pending = entry.announcements > 0;
         entry.announcements = ANNOUNCEMENTS;
+        if is_pending {
+            return;
+        }
+        self.pending.push_back(part);
+        if self.pending.len() > MAX_PARTS
+            && let Some(oldest) = self.pending.pop_front()
+            && let Some(entry) = self.entries.get_mut(&oldest)
+        {
+            entry.announcements = 0;
+        }
     }
 
     fn remember_answer(&mut self, part: Part, software: SoftwareDigest) {
--- a/serving/tests/parts.rs
+++ b/serving/tests/parts.rs
@@ -359,6 +359,37 @@
         let report = state.take_report(now);
         assert!(postcard::to_stdvec(&report).unwrap().len() <= MAX_REPORT_BYTES);
     }
+    let messages = (0..MAX_PARTS).take_while(|index| {
+        state.take_report(Millis(*index as u64));
+        state.has_updates()
+    });
+    // Eight parts in each message, three times.
+    assert!(messages.count() <= MAX_PARTS * 3 / 8);
+}
+
+/// Evidence that was removed for lack of space and comes again must be reported again.
+#[test]
+fn evidence_that_comes_again_is_reported() {
+    let mut state = State::new(1);
+    let software = software("v1");
+    let crash = |state: &mut State, now: u64, parts: std::ops::Range<u64>, process: u32| {
+        let prompt = Prompt::new(parts.map(Part));
+        let (request, revision) = (process, state.revision());
+        let attempt = Attempt { prompt: &prompt, software: &software, request, revision };
+        state.record_crash(Millis(now), attempt, Process(process));
+    };
+    for round in 0..3 {
+        crash(&mut state, round * 1_000, 0..1, round as u32);
+        for index in 1..100 {
+            let first = index * 32;
+            let process = (round * 1_000 + index) as u32;
+            crash(&mut state, round * 1_000 + index, first..first + 32, process);
+        }
+    }
+    crash(&mut state, 4_000, 0..1, 9_999);
+    let reports = (0..4_000).map(|index| state.take_report(Millis(4_000 + index)));
+    let parts: Vec<Part> = reports.flat_map(|report| report.parts).map(|part| part.0).collect();
+    assert!(parts.contains(&Part(0)));
 }
 
 /// A part that is blocked is blocked again by its first crash after the end of the block.
