fix(parts): log a block that a crash renews

A part that was blocked before stayed in the map of blocks after its end, so that the crash that blocks it again had no log line. part_is_blocked_again_by_one_crash_after_its_block failed before: only `Suspected` among the changes.

--- a/serving/src/parts/state.rs
+++ b/serving/src/parts/state.rs
@@ -448,7 +448,8 @@
         self.expire(now);
         let blocked = self.find_blocked();
         for (part, end) in &blocked {
-            if !self.blocked.contains_key(part) && *end > now {
+            let was_blocked = self.blocked.get(part).is_some_and(|end| *end > now);
+            if !was_blocked && *end > now {
                 let crashes = self.entries[part].undisproved().count();
                 changes.push(Change::Blocked { part: *part, crashes, remaining: *end - now });
                 self.announce(*part);
--- a/serving/tests/parts.rs
+++ b/serving/tests/parts.rs
@@ -400,7 +400,7 @@
     let crash = |state: &mut State, now: u64, index: u32| {
         let revision = state.revision();
         let attempt = Attempt { prompt: &prompt, software: &software, request: index, revision };
-        state.record_crash(Millis(now), attempt, Process(index));
+        state.record_crash(Millis(now), attempt, Process(index))
     };
     for index in 0..3 {
         crash(&mut state, u64::from(index) * 300, index);
@@ -409,7 +409,9 @@
     assert!(remaining >= Millis(599_000), "{remaining}");
     let end = 1_000 + remaining.0;
     assert_eq!(state.remaining_block(Millis(end), &prompt), None);
-    crash(&mut state, end + 1_000, 3);
+    let changes = crash(&mut state, end + 1_000, 3);
+    let is_block = |change: &Change| matches!(change, Change::Blocked { .. });
+    assert!(changes.iter().any(is_block), "{changes:?}");
     let remaining = state.remaining_block(Millis(end + 2_000), &prompt).unwrap();
     assert!(remaining >= Millis(1_190_000), "{remaining}");
 }
