fix(parts): let an answer without length or chunks disprove no crash

An engine that crashes between two events of an unframed stream closes the connection, which looks like the end of the answer.

--- a/serving/src/exchange/driver.rs
+++ b/serving/src/exchange/driver.rs
@@ -237,8 +237,10 @@
             Progress::Event(event) => self.handle_event(event),
             Progress::Complete => {
                 current.permit.outcome = Outcome::Succeeded;
-                let permit = &current.permit;
-                self.context.record_answer(&self.routed, self.fingerprint, permit);
+                if !current.source.is_unframed() {
+                    let permit = &current.permit;
+                    self.context.record_answer(&self.routed, self.fingerprint, permit);
+                }
                 self.context.quarantine().record_success(&self.fingerprint);
                 self.trace.finish("completed", "");
                 Some(Output::Complete)
@@ -507,7 +509,7 @@
         let has_failed = parts.status.is_server_error();
         self.trace.record_answer(&current.permit, parts.status);
         current.permit.outcome = if has_failed { Outcome::Failed } else { Outcome::Succeeded };
-        if parts.status.is_success() {
+        if parts.status.is_success() && !upstream::is_unframed(&parts.headers) {
             self.context.record_answer(&self.routed, self.fingerprint, &current.permit);
         }
         if self.status == Status::Suspect && !has_failed {
@@ -529,6 +531,16 @@
     }
 }
 
+impl Source {
+    /// Whether the end of the answer can't be told from a crash of the upstream.
+    fn is_unframed(&self) -> bool {
+        match self {
+            Source::Sending(_) => false,
+            Source::Stream(stream) => stream.body.is_unframed,
+        }
+    }
+}
+
 impl Run {
     /// Cancel-safe: a future that is dropped loses nothing.
     async fn next(&mut self) -> Progress {
--- a/serving/src/upstream/call.rs
+++ b/serving/src/upstream/call.rs
@@ -3,7 +3,10 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::{
+    HeaderMap,
+    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as _, Incoming};
 use tokio::{sync::OwnedSemaphorePermit, time::Instant};
@@ -161,9 +164,6 @@
                 "another upstream has the address",
             ));
         }
-        let headers = &parts.headers;
-        let is_unframed =
-            !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING);
         let body = Body {
             incoming,
             pool: Arc::clone(self),
@@ -172,7 +172,7 @@
             connection: Some(connection),
             keep_alive: head.keep_alive.map(|span| span.duration()),
             closes_connection: head.closes_connection,
-            is_unframed,
+            is_unframed: is_unframed(&parts.headers),
             deadline,
         };
         if head.not_run {
@@ -263,6 +263,11 @@
     }
 }
 
+/// Whether a response has neither a length nor chunks and ends with its connection.
+pub(crate) fn is_unframed(headers: &HeaderMap) -> bool {
+    !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// A body with its share of the memory for collected bodies.
 #[derive(Default)]
 struct CollectedBody {
--- a/serving/src/upstream/mod.rs
+++ b/serving/src/upstream/mod.rs
@@ -12,6 +12,7 @@
 
 use crate::{balance::Rate, parts::Prompt, time::Millis};
 
+pub(crate) use call::is_unframed;
 pub use call::{Answer, Body, Delivery, Failure, FailureKind};
 pub use passthrough::Passthrough;
 pub use pool::{Pool, Settings};
