refactor(balance): give rate limits a public module, and their log lines a file

The types of `balance::limit` keep their short names (`limit::Rate`, `limit::Report`, `limit::Change`) instead of aliases in `balance`, and `exchange::changes` holds the log lines for parts and limits, which had made `task` longer. Constants of the tests have names of their own. No change of behaviour.

--- a/serving/src/balance/mod.rs
+++ b/serving/src/balance/mod.rs
@@ -2,14 +2,13 @@
 //! in time.
 
 mod choice;
-mod limit;
+pub mod limit;
 mod load;
 mod replica;
 mod request;
 mod settings;
 mod state;
 
-pub use limit::{Change as LimitChange, ParseError, Rate, Report as LimitReport, Result};
 pub use load::{Digest, Load, Loads};
 pub use request::{Class, Criteria, Outcome, Pick, Refusal};
 pub use settings::Settings;
--- a/serving/src/balance/replica.rs
+++ b/serving/src/balance/replica.rs
@@ -8,7 +8,7 @@
     time::Millis,
 };
 
-use super::{Class, Load, Rate, Settings, request::Criteria};
+use super::{Class, Load, Settings, limit::Rate, request::Criteria};
 
 /// Weight of the latest request in the moving average of the failure rate.
 const FAILURE_RATE_WEIGHT: f64 = 0.2;
--- a/serving/src/balance/state.rs
+++ b/serving/src/balance/state.rs
@@ -17,8 +17,8 @@
 };
 
 use super::{
-    LimitChange, LimitReport, Rate, Settings,
-    limit::Limits,
+    Settings,
+    limit::{self, Limits, Rate},
     load::{Digest, Load, Loads},
     replica::{MeanDuration, Replica},
     request::{Class, Outcome, Pick},
@@ -220,7 +220,7 @@
         now: Millis,
         pick: &Pick,
         rate: Option<Rate>,
-    ) -> Option<LimitChange> {
+    ) -> Option<limit::Change> {
         self.limits.record_answer(now, Process::of(&pick.upstream, pick.started), rate)
     }
 
@@ -230,13 +230,13 @@
         now: Millis,
         vm: &Vm,
         incarnation: Incarnation,
-        reports: Vec<LimitReport>,
-    ) -> Vec<(Process, LimitChange)> {
+        reports: Vec<limit::Report>,
+    ) -> Vec<(Process, limit::Change)> {
         self.limits.merge(now, vm, incarnation, reports)
     }
 
     /// Reports of this node about rate limits.
-    pub fn own_limits(&mut self, now: Millis) -> Vec<LimitReport> {
+    pub fn own_limits(&mut self, now: Millis) -> Vec<limit::Report> {
         self.limits.reports(now)
     }
 
--- a/serving/src/exchange/mod.rs
+++ b/serving/src/exchange/mod.rs
@@ -1,6 +1,7 @@
 //! Proxies one online request to an upstream and returns the answer, with retries.
 //!
 //! * `state` decides after each failure whether the request is sent again, resumed or ended.
+//! * `changes` logs what the node comes to believe of parts of prompts and of rate limits.
 //! * `driver` executes these decisions: it sends the request and waits for answers.
 //! * `events` splits a stream of bytes into server-sent events.
 //! * `origin` selects the software that may go on with a stream, and records what begins one.
@@ -8,6 +9,7 @@
 //!   caller.
 //! * `trace` writes one log line for each request.
 
+mod changes;
 mod driver;
 pub mod events;
 mod origin;
--- a/serving/src/exchange/task.rs
+++ b/serving/src/exchange/task.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 
 use crate::{
-    balance::{self, Class, Criteria, Outcome, Pick, Refusal},
+    balance::{self, Class, Criteria, Outcome, Pick, Refusal, limit},
     catalog::Route,
     fleet::{self, Software},
     id::{Incarnation, Process, Service, Version, Vm, Workspace},
@@ -21,6 +21,7 @@
 };
 
 use super::{
+    changes,
     driver::{Driver, Output},
     origin,
     relay::{self, Events},
@@ -100,7 +101,7 @@
     /// Applies what another node reports about parts of prompts.
     pub(crate) fn merge_parts(&self, now: Millis, report: parts::Report) {
         let changes = self.parts().merge(now, report);
-        log_part_changes(&changes);
+        changes::log_parts(&changes);
     }
 
     /// Records the complete answer to a request as evidence for the parts of its prompt.
@@ -113,12 +114,12 @@
         let software = permit.software(routed);
         let attempt = permit.attempt(routed, &software, fingerprint);
         let changes = self.parts().record_answer(self.clock.now(), attempt);
-        log_part_changes(&changes);
+        changes::log_parts(&changes);
     }
 
     fn record_part_crash(&self, now: Millis, attempt: parts::Attempt<'_>, process: Process) {
         let changes = self.parts().record_crash(now, attempt, process);
-        log_part_changes(&changes);
+        changes::log_parts(&changes);
     }
 
     /// Chooses an upstream for one send and counts the request as in flight there until the result
@@ -173,7 +174,7 @@
         let change = self.balance().record_limit(self.clock.now(), pick, rate);
         let process = Process::of(&pick.upstream, pick.started);
         if let Some(change) = change {
-            log_limit_change(process, change, &format!("response of {}", pick.upstream));
+            changes::log_limit(process, change, &format!("response of {}", pick.upstream));
         }
     }
 
@@ -183,11 +184,11 @@
         now: Millis,
         vm: &Vm,
         incarnation: Incarnation,
-        reports: Vec<balance::LimitReport>,
+        reports: Vec<limit::Report>,
     ) {
         let changes = self.balance().update_limits(now, vm, incarnation, reports);
         for (process, change) in changes {
-            log_limit_change(process, change, &format!("report of {vm}"));
+            changes::log_limit(process, change, &format!("report of {vm}"));
         }
     }
 
@@ -312,39 +313,3 @@
         );
     });
 }
-
-/// Logs each block and its end, and the changes of the evidence on one line.
-fn log_part_changes(changes: &[parts::Change]) {
-    let (mut suspected, mut disproved) = (Vec::new(), Vec::new());
-    for change in changes {
-        match change {
-            parts::Change::Suspected { part, process, crashes } => {
-                suspected.push(format!("{part} {crashes} ({process})"));
-            }
-            parts::Change::Disproved { part, crashes } => {
-                disproved.push(format!("{part} {crashes}"));
-            }
-            parts::Change::Blocked { part, crashes, remaining } => {
-                log::warn!(part:% = part, crashes = crashes, ms = remaining.0; "part of prompts blocked: upstreams crash under requests with it");
-            }
-            parts::Change::Unblocked { part, crashes } => {
-                log::info!(part:% = part, crashes = crashes; "part of prompts no longer blocked");
-            }
-        }
-    }
-    if !suspected.is_empty() || !disproved.is_empty() {
-        let (suspected, disproved) = (suspected.join(", "), disproved.join(", "));
-        log::info!(suspected = suspected.as_str(), disproved = disproved.as_str(); "crashes per part of prompts changed");
-    }
-}
-
-fn log_limit_change(process: Process, change: balance::LimitChange, source: &str) {
-    match change {
-        balance::LimitChange::Named(rate) => {
-            log::info!(process:% = process, rate:% = rate, source = source; "upstream limits the rate of its requests");
-        }
-        balance::LimitChange::Ended => {
-            log::info!(process:% = process, source = source; "upstream no longer limits the rate of its requests");
-        }
-    }
-}
--- a/serving/src/peers/message.rs
+++ b/serving/src/peers/message.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    balance::{Digest, LimitReport, Loads},
+    balance::{Digest, Loads, limit},
     batch::{order::Bucket, quota::Report},
     id::{Incarnation, Service, Vm},
     origins::News,
@@ -47,7 +47,7 @@
     pub parts: parts::Report,
     /// What the node reports about rate limits of upstreams. Encoded last.
     #[serde(skip)]
-    pub limits: Vec<LimitReport>,
+    pub limits: Vec<limit::Report>,
 }
 
 impl Message {
--- a/serving/src/upstream/mod.rs
+++ b/serving/src/upstream/mod.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 
-use crate::{balance::Rate, parts::Prompt, time::Millis};
+use crate::{balance::limit::Rate, parts::Prompt, time::Millis};
 
 pub(crate) use call::is_unframed;
 pub use call::{Answer, Body, Delivery, Failure, FailureKind};
--- a/serving/tests/balance.rs
+++ b/serving/tests/balance.rs
@@ -7,7 +7,9 @@
     test_runner::{Config, RngSeed},
 };
 use serving::{
-    balance::{Class, Criteria, Digest, Load, Outcome, Pick, Rate, Refusal, Settings, State},
+    balance::{
+        Class, Criteria, Digest, Load, Outcome, Pick, Refusal, Settings, State, limit::Rate,
+    },
     fleet::Entry,
     id::{DataCentre, Service, Upstream, Vm},
     time::Millis,
--- a/serving/tests/limits.rs
+++ b/serving/tests/limits.rs
@@ -8,7 +8,10 @@
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use serving::{
-    balance::{Class, Criteria, LimitReport, Outcome, Pick, Rate, Refusal, Settings, State},
+    balance::{
+        Class, Criteria, Outcome, Pick, Refusal, Settings, State,
+        limit::{Rate, Report},
+    },
     fleet::Entry,
     id::{DataCentre, Incarnation, Service, Upstream, Vm},
     time::Millis,
@@ -18,7 +21,7 @@
 const STEP_MS: u64 = 10;
 const DURATION_MS: u64 = 24_000;
 /// Time after a limit was first named from which requests are counted.
-const STABLE_WINDOW_MS: u64 = 3_000;
+const LEARNING_MS: u64 = 3_000;
 /// Time over which requests are counted.
 const WINDOW_MS: u64 = 4_000;
 const GOSSIP_MS: u64 = 40;
@@ -48,7 +51,7 @@
 struct Outcomes {
     /// Times of the requests that each upstream got.
     sends: Vec<Vec<u64>>,
-    /// Batch requests from the stable window on.
+    /// Batch requests from the learning time on.
     batch_sends: usize,
     refused: usize,
     retry_after: Vec<u64>,
@@ -57,18 +60,17 @@
 impl Outcomes {
     fn max_in_window(&self, upstream: usize) -> usize {
         let sends = &self.sends[upstream];
-        let counted: Vec<u64> =
-            sends.iter().copied().filter(|at| *at >= STABLE_WINDOW_MS).collect();
+        let counted: Vec<u64> = sends.iter().copied().filter(|at| *at >= LEARNING_MS).collect();
         let count = |start: &u64| {
             counted.iter().filter(|at| (*start..start + WINDOW_MS).contains(*at)).count()
         };
         counted.iter().map(count).max().unwrap_or(0)
     }
 
-    /// Requests per second from the stable window on.
+    /// Requests per second from the learning time on.
     fn rate(&self, upstream: usize) -> f64 {
-        let counted = self.sends[upstream].iter().filter(|at| **at >= STABLE_WINDOW_MS).count();
-        counted as f64 * 1_000.0 / (DURATION_MS - STABLE_WINDOW_MS) as f64
+        let counted = self.sends[upstream].iter().filter(|at| **at >= LEARNING_MS).count();
+        counted as f64 * 1_000.0 / (DURATION_MS - LEARNING_MS) as f64
     }
 }
 
@@ -99,7 +101,7 @@
     from: usize,
     incarnation: u64,
     sequence: u64,
-    reports: Vec<LimitReport>,
+    reports: Vec<Report>,
 }
 
 /// Simulates nodes whose responses all name the limit of their upstream.
@@ -152,9 +154,9 @@
                         .find(|index| upstream(*index) == pick.upstream)
                         .unwrap();
                     outcomes.batch_sends +=
-                        usize::from(class == Class::Batch && now >= STABLE_WINDOW_MS);
+                        usize::from(class == Class::Batch && now >= LEARNING_MS);
                     // Requests of a node that has just started are excused.
-                    if *started == 0 || now >= *started + STABLE_WINDOW_MS {
+                    if *started == 0 || now >= *started + LEARNING_MS {
                         outcomes.sends[index].push(now);
                     }
                     answers.push((now + rng.random_range(50..600), node, *started, pick));
@@ -353,6 +355,6 @@
         restart_interval_ms: None,
     };
     let outcomes = run(&scenario);
-    let later = outcomes.sends[0].iter().filter(|at| **at >= STABLE_WINDOW_MS).count();
+    let later = outcomes.sends[0].iter().filter(|at| **at >= LEARNING_MS).count();
     assert!((1..=6).contains(&later), "{later} requests in 21 s");
 }
--- a/serving/tests/parts.rs
+++ b/serving/tests/parts.rs
@@ -18,7 +18,7 @@
 const STEP_MS: u64 = 5;
 /// Time after the fifth crash from which sends with the bad part count, and from which the sends
 /// of a node that has started count.
-const STABLE_WINDOW_MS: u64 = 3_000;
+const LEARNING_MS: u64 = 3_000;
 /// Crashes after which a bad part counts as known.
 const KNOWN_AFTER_CRASHES: usize = 5;
 const MAX_BAD_SENDS: usize = 3;
@@ -79,10 +79,10 @@
 struct Outcome {
     /// Crashes by bad parts.
     crashes: usize,
-    /// Sends with bad parts from the stable window on, by part.
+    /// Sends with bad parts from the learning time on, by part.
     bad_sends: BTreeMap<Part, usize>,
     sound_sent: usize,
-    /// Sound requests that were refused from two stable windows after the fifth crash on.
+    /// Sound requests that were refused from twice the learning time after the fifth crash on.
     sound_refused: usize,
     sound_asked: usize,
     /// Parts other than bad ones that were ever blocked.
@@ -216,7 +216,7 @@
             let index = rng.random_range(0..nodes.len());
             let node = &mut nodes[index];
             let known = crash_times.values().filter_map(|at| at.get(KNOWN_AFTER_CRASHES - 1));
-            let is_late = known.max().is_some_and(|at| now >= at + 2 * STABLE_WINDOW_MS);
+            let is_late = known.max().is_some_and(|at| now >= at + 2 * LEARNING_MS);
             let is_blocked = node.state.remaining_block(time, &prompt).is_some();
             if !is_bad {
                 outcome.sound_sent += 1;
@@ -229,12 +229,12 @@
                 continue;
             }
             let engine = up[rng.random_range(0..up.len())];
-            let is_in_touch = node.started_at == 0 || now >= node.started_at + STABLE_WINDOW_MS;
-            if is_bad && is_in_touch {
+            let has_settled = node.started_at == 0 || now >= node.started_at + LEARNING_MS;
+            if is_bad && has_settled {
                 for part in prompt.shared().iter().filter(|part| bad_parts.contains(part)) {
                     let fifth =
                         crash_times.get(part).and_then(|at| at.get(KNOWN_AFTER_CRASHES - 1));
-                    if fifth.is_some_and(|at| now > at + STABLE_WINDOW_MS) {
+                    if fifth.is_some_and(|at| now > at + LEARNING_MS) {
                         *outcome.bad_sends.entry(*part).or_default() += 1;
                     }
                 }
