fix(batch): let an item wait for upstreams that limit their rate of requests

Found by reading the change: an item that an upstream of its software could resume started over at once when the rate limits of these upstreams were used up, because only `Refusal::Full` counted as a reason to wait, and lost what it had. The decision is now a function of `schedule`. item_waits_for_software_whose_rate_is_limited failed before ([true, false, false] for [true, true, false]).

--- a/serving/src/batch/owner/items.rs
+++ b/serving/src/batch/owner/items.rs
@@ -8,7 +8,7 @@
 use tokio::{sync::oneshot, task, time::Instant};
 
 use crate::{
-    balance::{Class, Refusal},
+    balance::Class,
     catalog::Route,
     exchange::Permit,
     fleet::Software,
@@ -28,10 +28,6 @@
     writes::Effect,
 };
 
-/// Maximum time that an item waits for a slot at the software that began it while other software
-/// has free slots.
-const RESUME_PATIENCE: Millis = Millis(2_000);
-
 /// Minimum time between the runs of an item whose prompt holds a blocked part. Items are still owed
 /// then, and may run where an online request would be refused.
 const BLOCKED_ITEM_PAUSE: Millis = Millis(5_000);
@@ -190,7 +186,7 @@
 
     /// Chooses the upstream for an item. Returns whether the run continues the item's progress; the
     /// item starts over if no upstream of the software that began it is left, or has had a free
-    /// slot for `RESUME_PATIENCE`.
+    /// slot for too long.
     fn choose(&self, item: &ItemId, service: &Service) -> Result<(Permit, bool), Start> {
         let context = &self.dependencies.context;
         let choose = |version: Option<&Version>| {
@@ -205,7 +201,7 @@
         if let Some(software) = software {
             match choose(Some(&software.version)) {
                 Ok(permit) => return Ok((permit, true)),
-                Err(Refusal::Full { .. }) if waited < RESUME_PATIENCE => {
+                Err(refusal) if schedule::waits_for_software(refusal, waited) => {
                     return Err(Start::NoSlotAtVersion);
                 }
                 Err(_) => {}
--- a/serving/src/batch/schedule.rs
+++ b/serving/src/batch/schedule.rs
@@ -2,13 +2,27 @@
 
 use std::collections::BTreeMap;
 
-use crate::{id::Upstream, time::Millis};
+use crate::{balance::Refusal, id::Upstream, time::Millis};
 
 use super::{
     ledger::ItemId,
     order::{Urgency, WaitingItem},
 };
 
+/// Maximum time that an item waits for a slot at the software that began it while other software
+/// has free slots.
+const RESUME_PATIENCE: Millis = Millis(2_000);
+
+/// Whether an item that has waited for `waited` goes on waiting for the software that began it,
+/// whose upstreams refused it, instead of starting over.
+pub fn waits_for_software(refusal: Refusal, waited: Millis) -> bool {
+    let may_take_it_later = match refusal {
+        Refusal::Full { .. } | Refusal::Limited { .. } => true,
+        Refusal::NoUpstream { .. } | Refusal::Blocked { .. } => false,
+    };
+    may_take_it_later && waited < RESUME_PATIENCE
+}
+
 /// Returns how many of the `waiting` items of an owner, sorted by urgency, start now: those that
 /// are among the first `free_slots` items of all owners. `ahead` counts the items of other owners
 /// that run before a given urgency.
--- a/serving/tests/schedule.rs
+++ b/serving/tests/schedule.rs
@@ -3,10 +3,11 @@
 use std::collections::BTreeMap;
 
 use serving::{
+    balance::Refusal,
     batch::{
         ledger::ItemId,
         order::{Urgency, WaitingItem},
-        schedule::{RunningItem, count_starts, select_pauses},
+        schedule::{RunningItem, count_starts, select_pauses, waits_for_software},
     },
     id::Upstream,
     time::Millis,
@@ -64,3 +65,18 @@
     let items = vec![running_item(0, "a", 100), running_item(1, "b", 100)];
     assert_eq!(select_pauses(items, BTreeMap::new()), Vec::new());
 }
+
+/// An item must not lose its progress because the upstreams that could resume it limit their rate
+/// of requests for the moment.
+#[test]
+fn item_waits_for_software_whose_rate_is_limited() {
+    let retry_after = Millis(200);
+    let refusals = [
+        Refusal::Full { in_flight: 8, slots: 8, retry_after },
+        Refusal::Limited { retry_after },
+        Refusal::NoUpstream { retry_after },
+    ];
+    let waits = |waited| refusals.map(|refusal| waits_for_software(refusal, Millis(waited)));
+    assert_eq!(waits(1_999), [true, true, false]);
+    assert_eq!(waits(2_000), [false, false, false]);
+}
