fix(balance): don't panic on a retry spread over ten seconds

Found by reading: the delay after a refusal because of rate limits was clamped between the setting retry_spread_ms and a maximum of 10 s, and `clamp` panics if the setting is greater.

--- a/serving/src/balance/state.rs
+++ b/serving/src/balance/state.rs
@@ -354,7 +354,7 @@
         let (demand, rate) = self.limits.pressure(now, processes);
         let excess_s = if rate > 0.0 { (demand - rate).max(0.0) / rate } else { 0.0 };
         let spread_ms = (excess_s * 1_000.0) as u64;
-        let spread_ms = spread_ms.clamp(self.settings.retry_spread_ms, MAX_RETRY_SPREAD.0);
+        let spread_ms = spread_ms.min(MAX_RETRY_SPREAD.0).max(self.settings.retry_spread_ms);
         let spread = self.rng.random_range(0..=spread_ms);
         Millis(self.settings.retry_after_ms + spread)
     }
