--- a/serving/tests/parts.rs
+++ b/serving/tests/parts.rs
@@ -431,3 +431,28 @@
     }
     assert!(state.remaining_block(Millis(1), &prompt).is_some());
 }
+
+/// A part that turns bad after it was answered, beside another bad one and restarts of nodes, must
+/// not be sent on after it is known.
+#[test]
+fn part_that_turns_bad_beside_another_one_is_blocked_in_time() {
+    let scenario = Scenario {
+        seed: 906_119_082_455_582_311,
+        nodes: 8,
+        engines: 11,
+        duration_ms: 25_000,
+        bad_from_ms: 3_000,
+        bad_interval_ms: 126,
+        bad_parts: 2,
+        was_sound: true,
+        sound_interval_ms: 35,
+        gossip_delay_ms: 181,
+        loss: 26,
+        restart_interval_ms: Some(1_863),
+        rack_interval_ms: None,
+    };
+    let outcome = run(&scenario);
+    for (part, sends) in &outcome.bad_sends {
+        assert!(*sends <= MAX_BAD_SENDS, "{part}: {sends} sends, {outcome:?}");
+    }
+}
