fix(parts): keep a part blocked when another one gains a crash

Cause: a crash counts against one part only, and parts with more crashes come first. Two bad parts shared four crashed processes. The first had eight crashes and was blocked; a node that had just started sent the second part on, so that the second had nine, came first and took the four shared crashes. Four crashes of its own were left for the first part, which software had answered before and which needs five: all nodes unblocked it at once.

Change: a part that is blocked stays blocked while all its crashes meet its rule and two of them, under different requests, are its own.

The new test fails before (unblocked after 4 crashes under the other part).

--- a/serving/src/parts/state.rs
+++ b/serving/src/parts/state.rs
@@ -8,9 +8,10 @@
 //! * A part is blocked when enough crashes are left that no answer disproves and no other blocked
 //!   part explains. A part that the software has answered before needs more of them.
 //!
-//! Evidence is merged in any order and any number of times with the same result, and the blocked
-//! parts are a function of it, so that all nodes come to the same conclusion. Decisions compare no
-//! times of different nodes; times only end blocks and remove old evidence.
+//! Evidence is merged in any order and any number of times with the same result, and the parts that
+//! become blocked are a function of it, so that all nodes come to the same conclusion. A node keeps a
+//! block when only the order of the evidence changes; see [`State::find_blocked`]. Decisions compare
+//! no times of different nodes; times only end blocks and remove old evidence.
 
 use std::{
     cmp::Reverse,
@@ -27,6 +28,8 @@
 const NEW_PART_RULE: Rule = Rule { crashes: 3, requests: 2, rounds: 2 };
 /// Crashes after which a part is blocked that the software has answered before.
 const ANSWERED_PART_RULE: Rule = Rule { crashes: 5, requests: 3, rounds: 3 };
+/// Crashes that no other blocked part explains and that keep a part blocked.
+const KEPT_PART_RULE: Rule = Rule { crashes: 2, requests: 2, rounds: 1 };
 /// Duration of the block after the fewest crashes; doubles with each further crash.
 const BLOCK: Millis = Millis(600_000);
 /// Maximum number of times that the duration of a block doubles.
@@ -141,6 +144,13 @@
         crashes.map(|(process, known)| (process, &known.crash))
     }
 
+    /// Whether `crashes`, some or all of the part's own, block the part.
+    fn is_rule_met(&self, crashes: &[&Crash]) -> bool {
+        let was_answered = crashes.iter().any(|crash| self.answered_by.contains(&crash.software));
+        let rule = if was_answered { ANSWERED_PART_RULE } else { NEW_PART_RULE };
+        rule.is_met(crashes)
+    }
+
     fn last_crash(&self) -> Millis {
         self.crashes.values().map(|known| known.crash.at).max().unwrap_or_default()
     }
@@ -467,6 +477,9 @@
     /// A crash counts against only one part. Parts at the end of prompts come first: fewer sound
     /// requests share them, and if the cause is an earlier part, its crashes under other later parts
     /// are left to show it.
+    ///
+    /// Of two harmful parts that share crashes, a new crash under one changes which of them comes
+    /// first. The other one stays blocked although fewer crashes are left for it.
     fn find_blocked(&self) -> BTreeMap<Part, Millis> {
         let suspected = self.entries.iter().filter_map(|(part, entry)| {
             let crashes: Vec<(&Process, &Crash)> = entry.undisproved().collect();
@@ -479,14 +492,13 @@
         let mut explained: BTreeSet<Process> = BTreeSet::new();
         let mut blocked = BTreeMap::new();
         for (part, entry, crashes) in suspected {
-            let left: Vec<&Crash> = crashes
-                .iter()
-                .filter(|(process, _)| !explained.contains(process))
-                .map(|(_, crash)| *crash)
-                .collect();
-            let was_answered = left.iter().any(|crash| entry.answered_by.contains(&crash.software));
-            let rule = if was_answered { ANSWERED_PART_RULE } else { NEW_PART_RULE };
-            if rule.is_met(&left) {
+            let all: Vec<&Crash> = crashes.iter().map(|(_, crash)| *crash).collect();
+            let own = crashes.iter().filter(|(process, _)| !explained.contains(process));
+            let own: Vec<&Crash> = own.map(|(_, crash)| *crash).collect();
+            let keeps_block = self.blocked.contains_key(&part)
+                && KEPT_PART_RULE.is_met(&own)
+                && entry.is_rule_met(&all);
+            if keeps_block || entry.is_rule_met(&own) {
                 explained.extend(crashes.iter().map(|(process, _)| **process));
                 blocked.insert(part, self.block_end(part, entry, crashes.len()));
             }
--- a/serving/tests/parts.rs
+++ b/serving/tests/parts.rs
@@ -416,6 +416,28 @@
     assert!(remaining >= Millis(1_190_000), "{remaining}");
 }
 
+/// Two harmful parts share a crash. One more crash under the second must not unblock the first.
+#[test]
+fn crash_under_one_part_keeps_another_one_blocked() {
+    let mut state = State::new(1);
+    let software = software("v1");
+    let prompts = [Prompt::new([Part(1), Part(2)]), Prompt::new([Part(3), Part(4)])];
+    let crash = |state: &mut State, now: u64, prompt: &Prompt, process: u32| {
+        let (request, revision) = (now as u32, state.revision());
+        let attempt = Attempt { prompt, software: &software, request, revision };
+        state.record_crash(Millis(now), attempt, Process(process))
+    };
+    for (index, process) in [1, 2, 3].into_iter().enumerate() {
+        crash(&mut state, index as u64, &prompts[0], process);
+    }
+    for (index, process) in [1, 4, 5, 6].into_iter().enumerate() {
+        crash(&mut state, 10 + index as u64, &prompts[1], process);
+        let remaining = state.remaining_block(Millis(20), &prompts[0]);
+        assert!(remaining.is_some(), "after {} crashes under the other part", index + 1);
+    }
+    assert!(state.remaining_block(Millis(20), &prompts[1]).is_some());
+}
+
 /// Answers of one version say nothing about crashes of another.
 #[test]
 fn answers_of_another_version_disprove_no_crash() {
