feat(collector): pass the loads of all nodes on within a large fleet

Cause: above 80 peers a node's loads reached the owners of partitions and the peers 1, 2, 4, ... places on, every 450 ms. A node that owns nothing counted the loads of about 20 of 294 others, while a burst lasts 2.4 s. The busiest upstream got 1.84 times the mean, and owners paused no items where the slots were full of requests that they didn't know of.

Change: each node sends its loads every 100 ms, if they have changed, to two collectors of its data centre, which all nodes select alike from their peers by a hash, without an election. Collectors exchange the sums of their data centres and send their members the sum of the fleet (163 loads fit one datagram). A member subtracts its own report that the sum includes. Of two collectors the one that knows more nodes counts; a node that gets no sum for a second decides by gossip as before. Messages of gossip say the data centres of the sender and of the peers it introduces, behind the other fields, where older nodes ignore them.

The load that an upstream states in its responses is decoded and compared with the one by which it was chosen (metric load_error_requests); no decision uses it yet. Loads of peers add without overflow.

--- a/serving/src/balance/load.rs
+++ b/serving/src/balance/load.rs
@@ -17,11 +17,15 @@
     pub batch: u32,
 }
 
+/// Saturates: peers may report any number.
 impl Add for Load {
     type Output = Load;
 
     fn add(self, other: Load) -> Load {
-        Load { online: self.online + other.online, batch: self.batch + other.batch }
+        Load {
+            online: self.online.saturating_add(other.online),
+            batch: self.batch.saturating_add(other.batch),
+        }
     }
 }
 
@@ -39,7 +43,22 @@
 
 impl Load {
     pub fn total(self) -> u32 {
-        self.online + self.batch
+        self.online.saturating_add(self.batch)
+    }
+}
+
+/// What an upstream says of its own load in a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Stated {
+    pub running: u32,
+    pub waiting: u32,
+    pub slots: u32,
+}
+
+impl Stated {
+    /// Number of requests at the upstream.
+    pub fn in_flight(self) -> u32 {
+        self.running.saturating_add(self.waiting)
     }
 }
 
--- a/serving/src/balance/mod.rs
+++ b/serving/src/balance/mod.rs
@@ -9,7 +9,7 @@
 mod settings;
 mod state;
 
-pub use load::{Digest, Load, Loads};
+pub use load::{Digest, Load, Loads, Stated};
 pub use request::{Class, Criteria, Outcome, Pick, Refusal};
 pub use settings::Settings;
 pub use state::State;
--- a/serving/src/balance/state.rs
+++ b/serving/src/balance/state.rs
@@ -50,6 +50,9 @@
     /// Latest load update of each other node and the time of its arrival. `Replica::peer_load`
     /// holds the sum of these.
     peer_loads: BTreeMap<Vm, (Millis, Loads)>,
+    /// Loads of all other nodes together and the time of their arrival. While they last they are
+    /// used in place of `peer_loads`, which is then empty.
+    fleet_loads: Option<(Millis, Loads)>,
     /// Kept when an entry disappears, because it may come back while the process still runs.
     pub(super) limits: Limits,
     /// Earliest time at which a load update can expire.
@@ -82,6 +85,7 @@
             ejected: BTreeSet::new(),
             leaving: BTreeMap::new(),
             peer_loads: BTreeMap::new(),
+            fleet_loads: None,
             limits: Limits::default(),
             next_expiry: Millis(0),
         }
@@ -110,7 +114,7 @@
         let process = Process::of(upstream, entry.started);
         let mut replica = Replica::new(process, entry.clone());
         replica.is_leaving = self.leaving.get(upstream) == Some(&entry.started);
-        for (_, loads) in self.peer_loads.values() {
+        for (_, loads) in self.peer_loads.values().chain(&self.fleet_loads) {
             replica.peer_load = replica.peer_load + loads.get(&digest).copied().unwrap_or_default();
         }
         self.replicas.insert(upstream.clone(), replica);
@@ -139,9 +143,25 @@
         }
     }
 
+    /// Applies the loads of all other nodes together, which replace the previous ones and the load
+    /// updates of single nodes.
+    pub fn update_fleet_loads(&mut self, now: Millis, loads: Loads) {
+        self.expire(now);
+        self.change_peer_loads(&loads, Load::add);
+        let single = std::mem::take(&mut self.peer_loads);
+        let previous = self.fleet_loads.replace((now, loads));
+        for (_, loads) in single.into_values().chain(previous) {
+            self.change_peer_loads(&loads, Load::sub);
+        }
+        self.next_expiry = now + Millis(self.settings.load_expiry_ms);
+    }
+
     /// Applies a load update of another node, which replaces its previous one.
     pub fn update_loads(&mut self, now: Millis, vm: &Vm, loads: Loads) {
         self.expire(now);
+        if self.fleet_loads.is_some() {
+            return;
+        }
         self.change_peer_loads(&loads, Load::add);
         if let Some((_, previous)) = self.peer_loads.insert(vm.clone(), (now, loads)) {
             self.change_peer_loads(&previous, Load::sub);
@@ -331,8 +351,11 @@
                 self.change_peer_loads(&loads, Load::sub);
             }
         }
-        let oldest =
-            self.peer_loads.values().map(|(reported_at, _)| *reported_at).min().unwrap_or(now);
+        if let Some((_, loads)) = self.fleet_loads.take_if(|(at, _)| now - *at >= expiry) {
+            self.change_peer_loads(&loads, Load::sub);
+        }
+        let reported_at = self.peer_loads.values().chain(&self.fleet_loads).map(|(at, _)| *at);
+        let oldest = reported_at.min().unwrap_or(now);
         self.next_expiry = oldest + expiry;
     }
 
--- /dev/null
+++ b/serving/src/collector/message.rs
@@ -0,0 +1,63 @@
+//! The datagrams between nodes and collectors, encoded with postcard.
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    balance::Loads,
+    id::{DataCentre, Incarnation},
+};
+
+pub type Result<T> = std::result::Result<T, postcard::Error>;
+
+/// 32-bit hash of a data centre's name.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Place(u32);
+
+impl Place {
+    pub fn of(data_centre: &DataCentre) -> Place {
+        Place(xxh3_64(data_centre.0.as_bytes()) as u32)
+    }
+}
+
+/// Orders the datagrams of one sender, so that receivers can drop those that arrive out of order.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Version {
+    pub incarnation: Incarnation,
+    /// Increases with each datagram of an incarnation.
+    pub sequence: u64,
+}
+
+/// Requests in flight of several nodes.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Sum {
+    /// Number of nodes that are included.
+    pub nodes: u32,
+    pub loads: Loads,
+}
+
+/// A datagram between nodes and collectors.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Datagram {
+    /// Loads of a node, for the collectors of its data centre.
+    Member { version: Version, loads: Loads },
+    /// Loads of a data centre, from one of its collectors to those of the others.
+    Place { version: Version, place: Place, sum: Sum },
+    /// Loads of the fleet, from a collector to a member. `included` is the version of the member's
+    /// own loads that the sum includes.
+    Fleet { version: Version, included: Version, sum: Sum },
+}
+
+impl Datagram {
+    pub fn encode(&self) -> Result<Vec<u8>> {
+        postcard::to_stdvec(self)
+    }
+
+    pub fn decode(bytes: &[u8]) -> Result<Datagram> {
+        postcard::from_bytes(bytes)
+    }
+}
--- /dev/null
+++ b/serving/src/collector/task.rs
@@ -0,0 +1,150 @@
+//! Sends and receives the datagrams between nodes and collectors.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+use tokio::{net::UdpSocket, time::sleep};
+
+use crate::{peers::Gossip, time::Millis};
+
+use super::{Collector, Datagram, Member, Version};
+
+/// Interval at which loads and sums are sent.
+const INTERVAL: Millis = Millis(100);
+/// Largest datagram that can be received.
+const MAX_DATAGRAM_BYTES: usize = 16 << 10;
+
+/// The tasks of a node as a member and, if other nodes select it, as a collector.
+pub struct Tasks {
+    gossip: Arc<Gossip>,
+    /// Address of this node for these datagrams.
+    address: SocketAddr,
+    /// Converts the gossip address of a node to its address for these datagrams.
+    convert_address: fn(SocketAddr) -> SocketAddr,
+    state: Mutex<(Member, Collector)>,
+}
+
+impl Tasks {
+    pub fn new(gossip: Arc<Gossip>, convert_address: fn(SocketAddr) -> SocketAddr) -> Tasks {
+        let state = Mutex::new((Member::new(gossip.incarnation), Collector::default()));
+        let address = convert_address(gossip.address);
+        Tasks { gossip, address, convert_address, state }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, (Member, Collector)> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn now(&self) -> Millis {
+        self.gossip.context.clock.now()
+    }
+
+    /// The datagrams that are due, with their recipients.
+    fn take_datagrams(&self) -> Vec<(SocketAddr, Datagram)> {
+        let now = self.now();
+        let (mut own, mut others) = self.gossip.state().collectors();
+        for address in own.iter_mut().chain(&mut others) {
+            *address = (self.convert_address)(*address);
+        }
+        let mut datagrams = Vec::new();
+        let mut locked = self.lock();
+        let (member, collector) = &mut *locked;
+        collector.expire(now);
+        let loads = self.gossip.context.balance().own_loads().clone();
+        if !own.is_empty()
+            && let Some((version, loads)) = member.report(now, &loads)
+        {
+            for address in own {
+                if address == self.address {
+                    collector.record_member(now, address, version, loads.clone());
+                    continue;
+                }
+                let datagram = Datagram::Member { version, loads: loads.clone() };
+                datagrams.push((address, datagram));
+            }
+        }
+        if !collector.has_members() {
+            return datagrams;
+        }
+        let version = member.next_version();
+        let sum = collector.place_sum();
+        for address in others {
+            let datagram = Datagram::Place { version, place: self.gossip.place, sum: sum.clone() };
+            datagrams.push((address, datagram));
+        }
+        let sum = collector.fleet_sum(self.gossip.place);
+        let members: Vec<(SocketAddr, Version)> = collector.members().collect();
+        drop(locked);
+        for (address, included) in members {
+            let datagram = Datagram::Fleet { version, included, sum: sum.clone() };
+            if address == self.address {
+                self.handle(address, datagram);
+                continue;
+            }
+            datagrams.push((address, datagram));
+        }
+        datagrams
+    }
+
+    fn handle(&self, from: SocketAddr, datagram: Datagram) {
+        let now = self.now();
+        let mut locked = self.lock();
+        let (member, collector) = &mut *locked;
+        match datagram {
+            Datagram::Member { version, loads } => {
+                collector.record_member(now, from, version, loads);
+            }
+            Datagram::Place { version, place, sum } => {
+                collector.record_place(now, from, version, place, sum);
+            }
+            Datagram::Fleet { version, included, sum } => {
+                if let Some(loads) = member.apply(now, from, version, included, sum) {
+                    drop(locked);
+                    self.gossip.context.balance().update_fleet_loads(now, loads);
+                }
+            }
+        }
+    }
+}
+
+/// Exchanges datagrams with collectors and members; does not return.
+pub async fn run(tasks: Arc<Tasks>, socket: UdpSocket) {
+    let socket = Arc::new(socket);
+    tokio::spawn(receive(Arc::clone(&tasks), Arc::clone(&socket)));
+    loop {
+        sleep(INTERVAL.duration()).await;
+        for (address, datagram) in tasks.take_datagrams() {
+            let bytes = match datagram.encode() {
+                Ok(bytes) => bytes,
+                Err(error) => {
+                    log::error!(error:% = error; "failed to encode loads");
+                    continue;
+                }
+            };
+            if let Err(error) = socket.send_to(&bytes, address).await {
+                log::debug!(peer:% = address, error:% = error; "failed to send loads to peer");
+            }
+        }
+    }
+}
+
+async fn receive(tasks: Arc<Tasks>, socket: Arc<UdpSocket>) {
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        let (length, from) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                log::debug!(error:% = error; "failed to receive loads");
+                continue;
+            }
+        };
+        match Datagram::decode(&buffer[..length]) {
+            Ok(datagram) => tasks.handle(from, datagram),
+            Err(error) => {
+                log::warn!(peer:% = from, error:% = error, bytes = length; "failed to decode loads")
+            }
+        }
+    }
+}
--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod batch;
 
 pub mod catalog;
+pub mod collector;
 pub mod exchange;
 pub mod fleet;
 pub mod id;
--- a/serving/src/metrics.rs
+++ b/serving/src/metrics.rs
@@ -9,6 +9,9 @@
 /// Upper bounds of the histogram buckets for latencies, in seconds.
 const LATENCY_BUCKETS_S: [f64; 10] = [0.02, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0, 10.0];
 
+/// Upper bounds of the histogram buckets for errors of a load, in requests.
+const LOAD_ERROR_BUCKETS: [f64; 6] = [0.0, 1.0, 2.0, 4.0, 8.0, 16.0];
+
 /// Labels of a counter: what was counted, such as a route, service or call, and its outcome.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct Labels {
@@ -31,6 +34,9 @@
     pub time_to_first_byte: Histogram,
     /// Seconds from the arrival of a request to its end.
     pub time_to_last_byte: Histogram,
+    /// Difference between the requests that this node believed to be at an upstream when it chose it,
+    /// the chosen one included, and those that the upstream states in its response.
+    pub load_error: Histogram,
     /// Requests from callers that have not ended.
     pub in_flight: Gauge,
 }
@@ -58,6 +64,12 @@
             "Time to the last byte",
             time_to_last_byte.clone(),
         );
+        let load_error = Histogram::new(LOAD_ERROR_BUCKETS);
+        registry.register(
+            "load_error_requests",
+            "Error of the load by which an upstream was chosen",
+            load_error.clone(),
+        );
         let in_flight = Gauge::default();
         registry.register("in_flight", "Requests in flight", in_flight.clone());
         Metrics {
@@ -68,6 +80,7 @@
             batch_events,
             time_to_first_byte,
             time_to_last_byte,
+            load_error,
             in_flight,
         }
     }
--- a/serving/src/peers/message.rs
+++ b/serving/src/peers/message.rs
@@ -7,6 +7,7 @@
 use crate::{
     balance::{Digest, Loads, limit},
     batch::{order::Bucket, quota::Report},
+    collector::Place,
     id::{Incarnation, Service, Vm},
     origins::News,
     parts,
@@ -45,9 +46,15 @@
     /// What the node reports about parts of prompts. Encoded after the news.
     #[serde(skip)]
     pub parts: parts::Report,
-    /// What the node reports about rate limits of upstreams. Encoded last.
+    /// What the node reports about rate limits of upstreams. Encoded after the parts.
     #[serde(skip)]
     pub limits: Vec<limit::Report>,
+    /// Data centre of the sender. Encoded after the limits.
+    #[serde(skip)]
+    pub place: Place,
+    /// Data centres of `peers`, in their order. Encoded last; empty in messages of older nodes.
+    #[serde(skip)]
+    pub places: Vec<Place>,
 }
 
 impl Message {
@@ -57,6 +64,7 @@
         let mut bytes = postcard::to_stdvec(self)?;
         bytes.extend(postcard::to_stdvec(&(&self.news, ready))?);
         bytes.extend(postcard::to_stdvec(&(&self.parts, &self.limits))?);
+        bytes.extend(postcard::to_stdvec(&(&self.place, &self.places))?);
         Ok(bytes)
     }
 
@@ -68,7 +76,10 @@
             (news, rest) = postcard::take_from_bytes(rest)?;
             (message.news, ready) = news;
             if !rest.is_empty() {
-                (message.parts, message.limits) = postcard::from_bytes(rest)?;
+                ((message.parts, message.limits), rest) = postcard::take_from_bytes(rest)?;
+            }
+            if !rest.is_empty() {
+                (message.place, message.places) = postcard::from_bytes(rest)?;
             }
             for ((_, report), ready) in message.owned.iter_mut().zip(ready) {
                 report.ready_by_service = ready;
--- a/serving/src/peers/state.rs
+++ b/serving/src/peers/state.rs
@@ -5,13 +5,19 @@
     net::SocketAddr,
 };
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use crate::{
+    collector::Place,
     id::{Incarnation, Vm},
     time::Millis,
 };
 
 use super::{Message, Settings};
 
+/// Number of collectors of a data centre; the loss of one costs nothing.
+const COLLECTOR_COUNT: usize = 2;
+
 #[derive(Clone, Debug)]
 struct Peer {
     /// VM, incarnation and sequence number of the latest message; `None` before the first one.
@@ -23,12 +29,14 @@
     last_seen: Millis,
     /// Whether the peer owned partitions as of its latest message.
     is_owner: bool,
+    /// Data centre of the peer, by its own messages or by introductions.
+    place: Option<Place>,
 }
 
 impl Peer {
     /// A peer of which only the address is known.
     fn discovered(now: Millis) -> Peer {
-        Peer { latest: None, last_message_at: None, last_seen: now, is_owner: false }
+        Peer { latest: None, last_message_at: None, last_seen: now, is_owner: false, place: None }
     }
 }
 
@@ -37,6 +45,8 @@
 pub struct Round {
     pub recipients: Vec<SocketAddr>,
     pub introductions: Vec<SocketAddr>,
+    /// Data centres of `introductions`, in their order.
+    pub places: Vec<Place>,
 }
 
 /// The peers of a node and the state of its gossip schedule.
@@ -44,6 +54,7 @@
 pub struct State {
     settings: Settings,
     own_address: SocketAddr,
+    own_place: Place,
     peers: BTreeMap<SocketAddr, Peer>,
     /// When the last message was sent.
     last_sent: Option<Millis>,
@@ -57,10 +68,11 @@
 }
 
 impl State {
-    pub fn new(settings: Settings, own_address: SocketAddr) -> State {
+    pub fn new(settings: Settings, own_address: SocketAddr, own_place: Place) -> State {
         State {
             settings,
             own_address,
+            own_place,
             peers: BTreeMap::new(),
             last_sent: None,
             next_introduction: 0,
@@ -133,7 +145,9 @@
             self.last_announced = Some(now);
         }
         let introductions = self.introductions(now, max_introductions);
-        Round { recipients: self.recipients(is_announcement), introductions }
+        let place = |address: &SocketAddr| self.peers[address].place.unwrap_or_default();
+        let places = introductions.iter().map(place).collect();
+        Round { recipients: self.recipients(is_announcement), introductions, places }
     }
 
     /// Adds the node at `address` as a peer. In a large fleet, where a node receives messages from
@@ -168,9 +182,14 @@
         peer.last_message_at = Some(now);
         peer.last_seen = now;
         peer.is_owner = !message.owned.is_empty();
+        peer.place = Some(message.place);
         self.last_received = Some(now);
-        for address in &message.peers {
+        let places = message.places.iter().copied().map(Some).chain(std::iter::repeat(None));
+        for (address, place) in message.peers.iter().zip(places) {
             self.discover(now, *address);
+            if let Some(peer) = self.peers.get_mut(address) {
+                peer.place = peer.place.or(place);
+            }
         }
         if message.leaving {
             self.peers.remove(&message.address);
@@ -178,6 +197,30 @@
         true
     }
 
+    /// The collectors of this node's data centre, which may include this node, and those of all
+    /// others. None in a small fleet, where gossip reaches all peers.
+    pub fn collectors(&self) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
+        if !self.is_large() {
+            return (Vec::new(), Vec::new());
+        }
+        let mut candidates: BTreeMap<Place, Vec<(u64, SocketAddr)>> = BTreeMap::new();
+        let known = self.peers.iter().filter_map(|(address, peer)| Some((peer.place?, *address)));
+        for (place, address) in known.chain([(self.own_place, self.own_address)]) {
+            let rank = xxh3_64(address.to_string().as_bytes());
+            candidates.entry(place).or_default().push((rank, address));
+        }
+        let (mut here, mut elsewhere) = (Vec::new(), Vec::new());
+        for (place, mut ranked) in candidates {
+            ranked.sort();
+            let collectors = ranked.into_iter().take(COLLECTOR_COUNT).map(|(_, address)| address);
+            match place == self.own_place {
+                true => here.extend(collectors),
+                false => elsewhere.extend(collectors),
+            }
+        }
+        (here, elsewhere)
+    }
+
     /// Time since the last message from any peer; `None` before the first message.
     pub fn time_since_last_message(&self, now: Millis) -> Option<Millis> {
         self.last_received.map(|at| now - at)
--- a/serving/src/peers/task.rs
+++ b/serving/src/peers/task.rs
@@ -10,6 +10,7 @@
 use crate::{
     balance::Loads,
     batch::{Group, quota::Report},
+    collector::Place,
     exchange::Context,
     id::{Incarnation, Vm},
     time::Millis,
@@ -33,6 +34,7 @@
     pub vm: Vm,
     pub incarnation: Incarnation,
     pub address: SocketAddr,
+    pub place: Place,
     pub state: Mutex<State>,
     pub context: Arc<Context>,
     pub group: Arc<Group>,
@@ -47,7 +49,8 @@
         &self,
         sequence: u64,
         update: Update,
-        peers: Vec<SocketAddr>,
+        introductions: Vec<SocketAddr>,
+        places: Vec<Place>,
         now: Millis,
     ) -> Message {
         let (loads, owned) = update;
@@ -63,12 +66,14 @@
             loads,
             ejected,
             owned,
-            peers,
+            peers: introductions,
             suspects: self.context.quarantine().most_crashes(now, MAX_SUSPECTS),
             leaving: false,
             news: self.context.origins.state().take_news(now),
             parts: self.context.parts().take_report(now),
             limits,
+            place: self.place,
+            places,
         }
     }
 
@@ -109,9 +114,9 @@
         }
         sequence += 1;
         last_update = update.clone();
-        let Round { recipients, introductions } =
+        let Round { recipients, introductions, places } =
             gossip.state().start_round(now, !update.1.is_empty());
-        let message = gossip.build_message(sequence, update, introductions, now);
+        let message = gossip.build_message(sequence, update, introductions, places, now);
         send(&socket, &message, recipients).await;
     }
 }
--- a/serving/src/upstream/mod.rs
+++ b/serving/src/upstream/mod.rs
@@ -10,7 +10,11 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 
-use crate::{balance::limit::Rate, parts::Prompt, time::Millis};
+use crate::{
+    balance::{Stated, limit::Rate},
+    parts::Prompt,
+    time::Millis,
+};
 
 pub(crate) use call::is_unframed;
 pub use call::{Answer, Body, Delivery, Failure, FailureKind};
@@ -63,6 +67,8 @@
     /// The upstream's process is about to stop, and should get no more requests.
     pub is_leaving: bool,
     pub limit: Limit,
+    /// The load that the upstream states.
+    pub load: Option<Stated>,
 }
 
 impl Head {
--- a/serving/tests/peers.rs
+++ b/serving/tests/peers.rs
@@ -10,6 +10,7 @@
         order::{Bucket, Urgency},
         quota::Report,
     },
+    collector::Place,
     fleet::Software,
     id::Incarnation,
     origins::{Announcement, Digest, News},
@@ -23,7 +24,7 @@
 }
 
 fn state() -> State {
-    State::new(Settings::default(), address(1))
+    State::new(Settings::default(), address(1), Place::default())
 }
 
 fn message(index: u8, incarnation: u64, sequence: u64) -> Message {
@@ -41,6 +42,8 @@
         news: News::default(),
         parts: parts::Report::default(),
         limits: Vec::new(),
+        place: Place::default(),
+        places: Vec::new(),
     }
 }
 
@@ -155,7 +158,7 @@
     let mut received: BTreeMap<SocketAddr, usize> = BTreeMap::new();
     let mut links = Vec::new();
     for index in 0..count {
-        let mut state = State::new(Settings::default(), node_address(index));
+        let mut state = State::new(Settings::default(), node_address(index), Place::default());
         for other in (0..count).map(node_address).filter(|other| *other != node_address(index)) {
             let owned = match owners.contains(&other) {
                 true => vec![(1, Report::default())],
--- a/standins/src/emulator/fleet.rs
+++ b/standins/src/emulator/fleet.rs
@@ -9,8 +9,9 @@
         quota::{self, Report},
         schedule,
     },
+    collector::{Collector, Datagram, Member, Place},
     fleet::Entry,
-    id::{DataCentre, Service, Upstream, Vm},
+    id::{DataCentre, Incarnation, Service, Upstream, Vm},
     time::Millis,
 };
 
@@ -38,12 +39,16 @@
     Done(Work),
     Died(Work),
     News(usize, usize, Loads, Vec<(u16, Report)>),
+    /// A datagram of the second node reaches the first one.
+    Collect(usize, usize, Datagram),
 }
 
 struct Node {
     balance: balance::State,
     quota: quota::State,
     reports: BTreeMap<u16, Report>,
+    member: Member,
+    collector: Collector,
 }
 
 pub(super) struct Fleet<'a> {
@@ -83,7 +88,13 @@
             let seed = seed ^ ((index as u64 + 1) << 32);
             let mut balance = balance::State::new(scenario.balance.clone(), place(index), seed);
             balance.replace(&entries);
-            Node { balance, quota: quota::State::new(partitions), reports: BTreeMap::new() }
+            Node {
+                balance,
+                quota: quota::State::new(partitions),
+                reports: BTreeMap::new(),
+                member: Member::new(Incarnation(1)),
+                collector: Collector::default(),
+            }
         };
         let owner = |number: u16| Owner::new(number, usize::from(number) % scenario.nodes);
         let mut events: BTreeMap<u64, Vec<Event>> = BTreeMap::new();
@@ -121,6 +132,7 @@
             self.run_engines(now);
             self.run_owners(now);
             self.send_news(now);
+            self.send_loads(now);
         }
         self.tally.online = account::online(self.scenario, &self.day, &self.calls);
         let items = self.owners.iter().flat_map(|owner| &owner.items);
@@ -182,6 +194,7 @@
                     node.quota.apply_report(partition, report);
                 }
             }
+            Event::Collect(to, from, datagram) => self.collect(now, to, from, datagram),
         }
     }
 
@@ -351,4 +364,84 @@
             }
         }
     }
+
+    fn place(&self, node: usize) -> Place {
+        Place::of(&DataCentre(format!("dc-{}", node % self.scenario.data_centres)))
+    }
+
+    /// The collectors of the data centre `place`.
+    fn collectors(&self, place: usize) -> impl Iterator<Item = usize> + use<> {
+        let (nodes, places) = (self.scenario.nodes, self.scenario.data_centres);
+        let collectors =
+            (0..self.scenario.news.collectors).map(move |index| place + index * places);
+        collectors.filter(move |node| *node < nodes)
+    }
+
+    /// Sends the loads of each node and what each collector knows, where they are due.
+    fn send_loads(&mut self, now: u64) {
+        let interval = self.scenario.news.collect_ms;
+        let places = self.scenario.data_centres;
+        for from in 0..self.nodes.len() {
+            if interval == 0 || !(now + 5 * from as u64).is_multiple_of(interval) {
+                continue;
+            }
+            let own_place = from % places;
+            let node = &mut self.nodes[from];
+            node.collector.expire(Millis(now));
+            let loads = node.balance.own_loads().clone();
+            if let Some((version, loads)) = node.member.report(Millis(now), &loads) {
+                for to in self.collectors(own_place) {
+                    let datagram = Datagram::Member { version, loads: loads.clone() };
+                    self.send_datagram(now, to, from, datagram);
+                }
+            }
+            if !self.nodes[from].collector.has_members() {
+                continue;
+            }
+            let place = self.place(from);
+            let version = self.nodes[from].member.next_version();
+            let sum = self.nodes[from].collector.place_sum();
+            for to in (0..places).filter(|place| *place != own_place) {
+                for to in self.collectors(to) {
+                    let datagram = Datagram::Place { version, place, sum: sum.clone() };
+                    self.send_datagram(now, to, from, datagram);
+                }
+            }
+            let sum = self.nodes[from].collector.fleet_sum(place);
+            let members: Vec<_> = self.nodes[from].collector.members().collect();
+            for (member, included) in members {
+                let datagram = Datagram::Fleet { version, included, sum: sum.clone() };
+                self.send_datagram(now, usize::from(member.port()), from, datagram);
+            }
+        }
+    }
+
+    fn send_datagram(&mut self, now: u64, to: usize, from: usize, datagram: Datagram) {
+        if to != from {
+            self.tally.messages += 1;
+            if self.rng.random::<f64>() < self.scenario.news.loss {
+                return;
+            }
+        }
+        self.later(now + 1 + self.link(from, to), Event::Collect(to, from, datagram));
+    }
+
+    fn collect(&mut self, now: u64, to: usize, from: usize, datagram: Datagram) {
+        let node = &mut self.nodes[to];
+        let sender = ([10, 0, 0, 1], from as u16).into();
+        match datagram {
+            Datagram::Member { version, loads } => {
+                node.collector.record_member(Millis(now), sender, version, loads);
+            }
+            Datagram::Place { version, place, sum } => {
+                node.collector.record_place(Millis(now), sender, version, place, sum);
+            }
+            Datagram::Fleet { version, included, sum } => {
+                let loads = node.member.apply(Millis(now), sender, version, included, sum);
+                if let Some(loads) = loads {
+                    node.balance.update_fleet_loads(Millis(now), loads);
+                }
+            }
+        }
+    }
 }
--- a/standins/src/emulator/scenario.rs
+++ b/standins/src/emulator/scenario.rs
@@ -65,11 +65,23 @@
     pub loss: f64,
     /// Nodes that get each message; all when there are fewer.
     pub fan_out: usize,
+    /// Interval at which nodes and the collectors of data centres exchange loads; 0 if there are no
+    /// collectors.
+    pub collect_ms: u64,
+    /// Number of collectors in a data centre.
+    pub collectors: usize,
 }
 
 impl Default for News {
     fn default() -> News {
-        News { interval_ms: 32, loss: 0.0015, fan_out: usize::MAX }
+        News { interval_ms: 32, loss: 0.0015, fan_out: usize::MAX, collect_ms: 0, collectors: 2 }
+    }
+}
+
+impl News {
+    /// The news of a large fleet, where collectors exchange loads.
+    pub fn collected() -> News {
+        News { collect_ms: 100, ..News::default() }
     }
 }
 
