feat(collector): exchange sums every 50 ms between collectors of one rank

A change of a data centre's loads waited three times for an interval of 100 ms, and each collector sent its sum to both collectors of each other data centre. Now the interval is 50 ms, and collectors of one rank exchange their sums, half as many datagrams. If one is lost, the others of its rank know fewer nodes, and members use the sums of the next rank (the property test kills a collector).

--- a/serving/src/collector/task.rs
+++ b/serving/src/collector/task.rs
@@ -12,7 +12,7 @@
 use super::{Collector, Datagram, Member, Version};
 
 /// Interval at which loads and sums are sent.
-const INTERVAL: Millis = Millis(100);
+const INTERVAL: Millis = Millis(50);
 /// Largest datagram that can be received.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 
--- a/serving/src/peers/state.rs
+++ b/serving/src/peers/state.rs
@@ -197,28 +197,33 @@
         true
     }
 
-    /// The collectors of this node's data centre, which may include this node, and those of all
-    /// others. None in a small fleet, where gossip reaches all peers.
+    /// The collectors of this node's data centre, which may include this node, and the one of each
+    /// other data centre to which this node sends its sum if it is a collector. None in a small fleet,
+    /// where gossip reaches all peers.
+    ///
+    /// Collectors of the same rank exchange their sums. If one is lost, the others of its rank know
+    /// fewer nodes, and members use the sums of the next rank.
     pub fn collectors(&self) -> (Vec<SocketAddr>, Vec<SocketAddr>) {
         if !self.is_large() {
             return (Vec::new(), Vec::new());
         }
-        let mut candidates: BTreeMap<Place, Vec<(u64, SocketAddr)>> = BTreeMap::new();
+        let mut places: BTreeMap<Place, Vec<(u64, SocketAddr)>> = BTreeMap::new();
         let known = self.peers.iter().filter_map(|(address, peer)| Some((peer.place?, *address)));
         for (place, address) in known.chain([(self.own_place, self.own_address)]) {
-            let rank = xxh3_64(address.to_string().as_bytes());
-            candidates.entry(place).or_default().push((rank, address));
+            let draw = xxh3_64(address.to_string().as_bytes());
+            places.entry(place).or_default().push((draw, address));
         }
-        let (mut here, mut elsewhere) = (Vec::new(), Vec::new());
-        for (place, mut ranked) in candidates {
-            ranked.sort();
-            let collectors = ranked.into_iter().take(COLLECTOR_COUNT).map(|(_, address)| address);
-            match place == self.own_place {
-                true => here.extend(collectors),
-                false => elsewhere.extend(collectors),
-            }
+        for candidates in places.values_mut() {
+            candidates.sort();
+            candidates.truncate(COLLECTOR_COUNT);
         }
-        (here, elsewhere)
+        let own = places.remove(&self.own_place).unwrap_or_default();
+        let rank = own.iter().position(|(_, address)| *address == self.own_address).unwrap_or(0);
+        let same_rank = |candidates: &Vec<(u64, SocketAddr)>| {
+            candidates.get(rank).or(candidates.last()).map(|(_, address)| *address)
+        };
+        let others = places.values().filter_map(same_rank).collect();
+        (own.into_iter().map(|(_, address)| address).collect(), others)
     }
 
     /// Time since the last message from any peer; `None` before the first message.
--- a/serving/tests/balance.rs
+++ b/serving/tests/balance.rs
@@ -308,6 +308,54 @@
     assert_eq!(state.occupancy(Millis(4), &Service::from("model")).0.online, 4);
 }
 
+fn update_fleet_loads(state: &mut State, now: u64, loads: &[(usize, u32)]) {
+    let load = |online| Load { online, batch: 0 };
+    let loads = loads.iter().map(|(index, online)| (Digest::of(&upstream(*index)), load(*online)));
+    state.update_fleet_loads(Millis(now), loads.collect());
+}
+
+/// Loads of the fleet include those of single nodes, which must not count twice.
+#[test]
+fn loads_of_the_fleet_replace_those_of_single_nodes() {
+    let mut state = state(2);
+    let service = Service::from("model");
+    update_loads(&mut state, 0, "a", &[(0, 3)]);
+    update_fleet_loads(&mut state, 1, &[(0, 5), (1, 1)]);
+    update_loads(&mut state, 2, "a", &[(0, 4)]);
+    update_loads(&mut state, 2, "b", &[(1, 4)]);
+    assert_eq!(state.occupancy(Millis(3), &service).0.online, 6);
+    update_fleet_loads(&mut state, 4, &[(1, 2)]);
+    assert_eq!(state.occupancy(Millis(5), &service).0.online, 2);
+    state.replace(&fleet(1));
+    state.replace(&fleet(2));
+    assert_eq!(state.occupancy(Millis(6), &service).0.online, 2, "a new entry has its load");
+}
+
+/// When the collectors are lost, the loads of the fleet expire and those of single nodes count again.
+#[test]
+fn loads_of_single_nodes_count_after_those_of_the_fleet_expire() {
+    let mut state = state(1);
+    let service = Service::from("model");
+    let expiry = Settings::default().load_expiry_ms;
+    update_fleet_loads(&mut state, 10, &[(0, 5)]);
+    update_loads(&mut state, 9 + expiry, "a", &[(0, 3)]);
+    assert_eq!(state.occupancy(Millis(9 + expiry), &service).0.online, 5);
+    update_loads(&mut state, 10 + expiry, "a", &[(0, 3)]);
+    assert_eq!(state.occupancy(Millis(10 + expiry), &service).0.online, 3);
+}
+
+/// A spread of retries longer than the limit of 10 s made `clamp` panic.
+#[test]
+fn refusal_because_of_a_limit_takes_any_retry_spread() {
+    let settings = Settings { retry_spread_ms: 20_000, ..Settings::default() };
+    let mut state = State::new(settings, DataCentre::from("here"), 1);
+    state.replace(&fleet(1));
+    let pick = choose(&mut state, 0, Class::Online).unwrap();
+    state.record_limit(Millis(1), &pick, Some(Rate::new(0.0).unwrap()));
+    let refusal = (0..100).find_map(|_| choose(&mut state, 2_000, Class::Online).err()).unwrap();
+    assert!(matches!(refusal, Refusal::Limited { .. }), "{refusal:?}");
+}
+
 #[test]
 fn restarted_upstream_starts_without_load() {
     let mut state = state(1);
--- a/serving/tests/collector.rs
+++ b/serving/tests/collector.rs
@@ -17,7 +17,7 @@
 const PLACES: usize = 4;
 const COLLECTORS: usize = 2;
 const STEP_MS: u64 = 5;
-const INTERVAL_MS: u64 = 100;
+const INTERVAL_MS: u64 = 50;
 const MAX_DELAY_MS: u64 = 15;
 /// Time within which all nodes know a change: a report, an exchange between collectors and a sum, each
 /// of them up to `MAX_DELAY_MS` on its way.
@@ -128,7 +128,10 @@
             }
             let version = self.members[from].next_version();
             let sum = self.collectors[from].place_sum();
-            for to in (0..PLACES * COLLECTORS).filter(|to| to % PLACES != from % PLACES) {
+            // Collectors of the same rank exchange sums.
+            let rank = from / PLACES;
+            for to in (0..PLACES).filter(|to| *to != from % PLACES) {
+                let to = to + rank * PLACES;
                 let (place, sum) = (place(from), sum.clone());
                 self.send(now, to, from, Datagram::Place { version, place, sum });
             }
--- a/serving/tests/peers.rs
+++ b/serving/tests/peers.rs
@@ -230,3 +230,46 @@
     let round = state.start_round(Millis(3_000), false);
     assert_eq!(round.introductions, vec![address(2)], "peer 9 sent no message to this node");
 }
+
+/// Nodes that know the same peers must select the same collectors, and each other's of the same rank.
+#[test]
+fn nodes_of_a_large_fleet_select_the_same_collectors() {
+    let node_address = |index: usize| -> SocketAddr {
+        ([10, 0, (index / 250) as u8, (index % 250) as u8], 7_000).into()
+    };
+    let place = |index: usize| Place::of(&format!("dc-{}", index % 4).as_str().into());
+    let mut selected: BTreeMap<Place, BTreeSet<Vec<SocketAddr>>> = BTreeMap::new();
+    let mut links: BTreeMap<SocketAddr, Vec<SocketAddr>> = BTreeMap::new();
+    for index in 0..295 {
+        let mut state = State::new(Settings::default(), node_address(index), place(index));
+        let others: Vec<usize> = (0..295).filter(|other| *other != index).collect();
+        // Half of the peers send a message, the others are introduced.
+        for pair in others.chunks(2) {
+            let peers = pair.iter().skip(1).map(|other| node_address(*other)).collect();
+            let places = pair.iter().skip(1).map(|other| place(*other)).collect();
+            let (address, place) = (node_address(pair[0]), place(pair[0]));
+            let message = Message { address, place, peers, places, ..message(2, 1, 1) };
+            state.handle_message(Millis(0), &message);
+        }
+        let (own, others) = state.collectors();
+        assert_eq!((own.len(), others.len()), (2, 3));
+        if own.contains(&node_address(index)) {
+            links.insert(node_address(index), others);
+        }
+        selected.entry(place(index)).or_default().insert(own);
+    }
+    assert!(selected.values().all(|choices| choices.len() == 1), "{selected:?}");
+    for (from, others) in &links {
+        assert!(others.iter().all(|to| links[to].contains(from)), "{from} and {others:?}");
+    }
+}
+
+/// In a small fleet gossip reaches all peers, and collectors would only add to it.
+#[test]
+fn small_fleet_has_no_collectors() {
+    let mut state = state();
+    for index in 2..=13 {
+        state.handle_message(Millis(0), &Message { address: address(index), ..message(2, 1, 1) });
+    }
+    assert_eq!(state.collectors(), (Vec::new(), Vec::new()));
+}
--- a/standins/src/emulator/fleet.rs
+++ b/standins/src/emulator/fleet.rs
@@ -401,11 +401,11 @@
             let place = self.place(from);
             let version = self.nodes[from].member.next_version();
             let sum = self.nodes[from].collector.place_sum();
+            // Collectors of the same rank exchange sums.
             for to in (0..places).filter(|place| *place != own_place) {
-                for to in self.collectors(to) {
-                    let datagram = Datagram::Place { version, place, sum: sum.clone() };
-                    self.send_datagram(now, to, from, datagram);
-                }
+                let Some(to) = self.collectors(to).nth(from / places) else { continue };
+                let datagram = Datagram::Place { version, place, sum: sum.clone() };
+                self.send_datagram(now, to, from, datagram);
             }
             let sum = self.nodes[from].collector.fleet_sum(place);
             let members: Vec<_> = self.nodes[from].collector.members().collect();
--- a/standins/src/emulator/scenario.rs
+++ b/standins/src/emulator/scenario.rs
@@ -81,7 +81,7 @@
 impl News {
     /// The news of a large fleet, where collectors exchange loads.
     pub fn collected() -> News {
-        News { collect_ms: 100, ..News::default() }
+        News { collect_ms: 50, ..News::default() }
     }
 }
 
