feat(collector): send sums only as often as links allow

A collector now sends at most 1 MB a second: the interval grows with the sums and members, and above 400 ms, where a single lost sum would expire the loads, nothing is sent and nodes decide by gossip as before.

--- a/serving/src/collector/message.rs
+++ b/serving/src/collector/message.rs
@@ -40,6 +40,13 @@
     pub loads: Loads,
 }
 
+impl Sum {
+    /// Size in a datagram.
+    pub fn encoded_len(&self) -> usize {
+        postcard::experimental::serialized_size(self).unwrap_or(usize::MAX)
+    }
+}
+
 /// A datagram between nodes and collectors.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Datagram {
--- a/serving/src/collector/mod.rs
+++ b/serving/src/collector/mod.rs
@@ -11,5 +11,5 @@
 mod task;
 
 pub use message::{Datagram, Place, Result, Sum, Version};
-pub use state::{Collector, Member};
+pub use state::{Collector, Member, interval_after};
 pub use task::{Tasks, run};
--- a/serving/src/collector/state.rs
+++ b/serving/src/collector/state.rs
@@ -17,6 +17,20 @@
 /// Number of own reports that a member remembers. A collector includes one of them in its sum.
 const MAX_REPORTS: usize = 16;
 
+/// Interval at which a collector sends its sums, if they are small.
+pub(super) const INTERVAL: Millis = Millis(50);
+/// Longest interval, less than half of [`EXPIRY`], so that a single lost sum expires no loads.
+const MAX_INTERVAL: Millis = Millis(400);
+/// Bytes that a collector sends in a millisecond: a quarter of the slowest links.
+const BYTES_PER_MS: usize = 1_000;
+
+/// Time after which a collector that has sent `bytes` sends its sums again. `None` if they are too
+/// large to be sent at all: there are more loads or members than its link carries.
+pub fn interval_after(bytes: usize) -> Option<Millis> {
+    let interval = Millis((bytes / BYTES_PER_MS) as u64).max(INTERVAL);
+    (interval <= MAX_INTERVAL).then_some(interval)
+}
+
 /// Latest datagram of one sender.
 #[derive(Clone, Debug)]
 struct Received<T> {
--- a/serving/src/collector/task.rs
+++ b/serving/src/collector/task.rs
@@ -2,19 +2,17 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, Once, PoisonError},
 };
 
 use tokio::{net::UdpSocket, time::sleep};
 
 use crate::{peers::Gossip, time::Millis};
 
-use super::{Collector, Datagram, Member, Version};
+use super::{Collector, Datagram, Member, Version, interval_after, state::INTERVAL};
 
-/// Interval at which loads and sums are sent.
-const INTERVAL: Millis = Millis(50);
 /// Largest datagram that can be received.
-const MAX_DATAGRAM_BYTES: usize = 16 << 10;
+const MAX_DATAGRAM_BYTES: usize = 60 << 10;
 
 /// The tasks of a node as a member and, if other nodes select it, as a collector.
 pub struct Tasks {
@@ -23,17 +21,28 @@
     address: SocketAddr,
     /// Converts the gossip address of a node to its address for these datagrams.
     convert_address: fn(SocketAddr) -> SocketAddr,
-    state: Mutex<(Member, Collector)>,
+    state: Mutex<State>,
+}
+
+struct State {
+    member: Member,
+    collector: Collector,
+    /// When the collector sends its sums next.
+    next_sums_at: Millis,
 }
 
 impl Tasks {
     pub fn new(gossip: Arc<Gossip>, convert_address: fn(SocketAddr) -> SocketAddr) -> Tasks {
-        let state = Mutex::new((Member::new(gossip.incarnation), Collector::default()));
+        let state = Mutex::new(State {
+            member: Member::new(gossip.incarnation),
+            collector: Collector::default(),
+            next_sums_at: Millis(0),
+        });
         let address = convert_address(gossip.address);
         Tasks { gossip, address, convert_address, state }
     }
 
-    fn lock(&self) -> MutexGuard<'_, (Member, Collector)> {
+    fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -50,7 +59,7 @@
         }
         let mut datagrams = Vec::new();
         let mut locked = self.lock();
-        let (member, collector) = &mut *locked;
+        let State { member, collector, next_sums_at } = &mut *locked;
         collector.expire(now);
         let loads = self.gossip.context.balance().own_loads().clone();
         if !own.is_empty()
@@ -65,18 +74,27 @@
                 datagrams.push((address, datagram));
             }
         }
-        if !collector.has_members() {
+        if !collector.has_members() || now < *next_sums_at {
             return datagrams;
         }
+        let members: Vec<(SocketAddr, Version)> = collector.members().collect();
         let version = member.next_version();
-        let sum = collector.place_sum();
-        for address in others {
-            let datagram = Datagram::Place { version, place: self.gossip.place, sum: sum.clone() };
-            datagrams.push((address, datagram));
-        }
+        let place_sum = collector.place_sum();
         let sum = collector.fleet_sum(self.gossip.place);
-        let members: Vec<(SocketAddr, Version)> = collector.members().collect();
+        let bytes = (members.len() + others.len()) * sum.encoded_len();
+        let Some(interval) = interval_after(bytes) else {
+            static TOO_LARGE: Once = Once::new();
+            TOO_LARGE.call_once(|| {
+                log::warn!(members = members.len(), upstreams = sum.loads.len(), bytes = bytes; "loads of the fleet not sent: too many for the members");
+            });
+            return datagrams;
+        };
+        *next_sums_at = now + interval;
         drop(locked);
+        for address in others {
+            let (place, sum) = (self.gossip.place, place_sum.clone());
+            datagrams.push((address, Datagram::Place { version, place, sum }));
+        }
         for (address, included) in members {
             let datagram = Datagram::Fleet { version, included, sum: sum.clone() };
             if address == self.address {
@@ -91,7 +109,7 @@
     fn handle(&self, from: SocketAddr, datagram: Datagram) {
         let now = self.now();
         let mut locked = self.lock();
-        let (member, collector) = &mut *locked;
+        let State { member, collector, .. } = &mut *locked;
         match datagram {
             Datagram::Member { version, loads } => {
                 collector.record_member(now, from, version, loads);
