feat(exchange): measure pauses between events of streams

The log line of a request has max_pause_ms, and the histogram event_pause_seconds counts pauses by route, both as events come from the upstream.

An event is one write already; a sending side can't recover a lost packet sooner than its transport does, and holding events back is no service.

--- a/serving/src/exchange/driver.rs
+++ b/serving/src/exchange/driver.rs
@@ -273,7 +273,7 @@
             Ok(false) => None,
             Ok(true) => {
                 self.resume_waiting();
-                self.trace.record_first_event();
+                self.trace.record_event();
                 self.keep_version();
                 Some(Output::Event(event.bytes))
             }
--- a/serving/src/exchange/trace.rs
+++ b/serving/src/exchange/trace.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt::Write, sync::Arc};
 
-use crate::{balance::Refusal, time::Millis};
+use crate::{balance::Refusal, metrics::RouteLabel, time::Millis};
 
 use super::{Context, RoutedRequest, task::Permit};
 
@@ -24,6 +24,10 @@
     /// Upstream, load and result of each send, with milliseconds since the arrival.
     sends: String,
     first_event: Option<Millis>,
+    /// Time from the arrival to the latest event of a stream.
+    latest_event: Option<Millis>,
+    /// Longest time between two events of a stream.
+    max_pause: Millis,
     is_finished: bool,
 }
 
@@ -42,6 +46,8 @@
             arrived: routed.arrived,
             sends: String::new(),
             first_event: None,
+            latest_event: None,
+            max_pause: Millis(0),
             is_finished: false,
         }
     }
@@ -85,6 +91,19 @@
         self.context.metrics.time_to_first_byte.observe(elapsed.0 as f64 / 1_000.0);
     }
 
+    /// Records an event of a stream that the upstream has sent.
+    pub(super) fn record_event(&mut self) {
+        self.record_first_event();
+        let elapsed = self.elapsed();
+        if let Some(previous) = self.latest_event.replace(elapsed) {
+            let pause = elapsed - previous;
+            self.max_pause = self.max_pause.max(pause);
+            let metrics = &self.context.metrics;
+            let route = RouteLabel { route: self.route.clone() };
+            metrics.event_pause.get_or_create(&route).observe(pause.0 as f64 / 1_000.0);
+        }
+    }
+
     pub(super) fn record_answer(&mut self, permit: &Permit, status: http::StatusCode) {
         self.record_first_event();
         self.context.metrics.count(&self.context.metrics.sends, &self.service, "answered");
@@ -111,6 +130,7 @@
             last_event = self.last_event,
             sends = self.sends.as_str(),
             first_ms = self.first_event.map_or(-1, |first| first.0 as i64),
+            max_pause_ms = self.max_pause.0,
             ms = elapsed.0,
             outcome = outcome,
             why = reason;
--- a/serving/src/metrics.rs
+++ b/serving/src/metrics.rs
@@ -19,6 +19,16 @@
     pub outcome: String,
 }
 
+fn latency_histogram() -> Histogram {
+    Histogram::new(LATENCY_BUCKETS_S)
+}
+
+/// Label of a histogram by route.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct RouteLabel {
+    pub route: String,
+}
+
 /// The metrics of one process.
 pub struct Metrics {
     registry: Registry,
@@ -34,6 +44,8 @@
     pub time_to_first_byte: Histogram,
     /// Seconds from the arrival of a request to its end.
     pub time_to_last_byte: Histogram,
+    /// Seconds between two events of a stream as they came from the upstream, by route.
+    pub event_pause: Family<RouteLabel, Histogram, fn() -> Histogram>,
     /// Difference between the requests that this node believed to be at an upstream when it chose it,
     /// the chosen one included, and those that the upstream states in its response.
     pub load_error: Histogram,
@@ -64,6 +76,12 @@
             "Time to the last byte",
             time_to_last_byte.clone(),
         );
+        let event_pause = Family::new_with_constructor(latency_histogram as fn() -> Histogram);
+        registry.register(
+            "event_pause_seconds",
+            "Time between two events of a stream",
+            event_pause.clone(),
+        );
         let load_error = Histogram::new(LOAD_ERROR_BUCKETS);
         registry.register(
             "load_error_requests",
@@ -80,6 +98,7 @@
             batch_events,
             time_to_first_byte,
             time_to_last_byte,
+            event_pause,
             load_error,
             in_flight,
         }
