fix(quota): add reported numbers up without overflow

Looked for: one malformed message takes a whole process down. A message of a peer may hold any numbers. Sums of reported tokens and counts of waiting items overflowed, which panics in a debug build and wraps around in a release build: a quota that is used up then looks free. A reported rate could be no number. Both are now bounded where they are read.

extreme_values_end_no_node failed before (attempt to add with overflow). The property tests change bytes of gossip messages and of loads, apply what can be decoded and decide by it; they found nothing else in 4,000 cases each (MALFORMED_CASES sets the number).

--- a/serving/src/balance/limit.rs
+++ b/serving/src/balance/limit.rs
@@ -63,7 +63,7 @@
 
 /// Requests per second. Not negative, and finite.
 #[derive(Clone, Copy, Debug, PartialEq, PartialOrd, Serialize, Deserialize)]
-#[serde(transparent)]
+#[serde(try_from = "f64", into = "f64")]
 pub struct Rate(f64);
 
 impl Rate {
@@ -82,6 +82,20 @@
     }
 }
 
+impl TryFrom<f64> for Rate {
+    type Error = ParseError;
+
+    fn try_from(per_second: f64) -> Result<Rate> {
+        Rate::new(per_second)
+    }
+}
+
+impl From<Rate> for f64 {
+    fn from(rate: Rate) -> f64 {
+        rate.0
+    }
+}
+
 impl fmt::Display for Rate {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}/s", self.0)
@@ -274,8 +288,8 @@
             let peer = Peer {
                 incarnation,
                 sent: report.sent,
-                online_demand: f64::from(report.online_demand),
-                batch_demand: f64::from(report.batch_demand),
+                online_demand: reported_demand(report.online_demand),
+                batch_demand: reported_demand(report.batch_demand),
                 reported_at: now,
             };
             if !limit.peers.contains_key(vm) {
@@ -377,3 +391,8 @@
 fn seconds(span: Millis) -> f64 {
     span.0 as f64 / 1_000.0
 }
+
+/// The demand that a peer reports; 0 if that is no rate.
+fn reported_demand(per_second: f32) -> f64 {
+    Rate::new(f64::from(per_second)).map_or(0.0, Rate::per_second)
+}
--- a/serving/src/batch/quota.rs
+++ b/serving/src/batch/quota.rs
@@ -91,7 +91,8 @@
                 true => &report.ready[..],
                 false => report.ready_by_service.get(service).map_or(&[][..], Vec::as_slice),
             };
-            ahead += ready.iter().filter(before).map(|bucket| bucket.count).sum::<u32>();
+            let counts = ready.iter().filter(before).map(|bucket| bucket.count);
+            ahead = counts.fold(ahead, u32::saturating_add);
         }
         ahead
     }
@@ -110,15 +111,11 @@
             return Decision::Unknown;
         }
         self.grants.retain(|grant| grant.until > now && grant.job != *job);
-        let reported: u64 =
-            self.reports.values().filter_map(|report| report.waiting.get(route)).sum();
-        let granted: u64 = self
-            .grants
-            .iter()
-            .filter(|grant| grant.route == *route)
-            .map(|grant| grant.tokens)
-            .sum();
-        if reported + granted + tokens > limit {
+        let reported =
+            self.reports.values().filter_map(|report| report.waiting.get(route).copied());
+        let granted = self.grants.iter().filter(|grant| grant.route == *route);
+        let granted = granted.map(|grant| grant.tokens);
+        if reported.chain(granted).fold(tokens, u64::saturating_add) > limit {
             return Decision::OverQuota;
         }
         let until = now + GRANT_HOLD;
--- /dev/null
+++ b/serving/tests/malformed.rs
@@ -0,0 +1,319 @@
+//! Malformed datagrams of peers: none may end the process.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
+use serving::{
+    balance::{self, Class, Criteria, Digest, Load, limit},
+    batch::{
+        order::{Bucket, Urgency},
+        quota,
+    },
+    collector::{Collector, Datagram, Member, Place, Sum, Version},
+    fleet::{Entry, Software},
+    id::{Incarnation, Process, Service, Upstream},
+    origins::{self, Announcement, News},
+    parts::{self, Attempt, Part, Prompt},
+    peers::{self, Message},
+    quarantine::{Fingerprint, Quarantine},
+    time::Millis,
+};
+
+const STARTED: u64 = 7;
+
+fn service() -> Service {
+    Service::from("model")
+}
+
+fn upstream(index: u32) -> Upstream {
+    Upstream(format!("replica-{index}"))
+}
+
+fn process(index: u32) -> Process {
+    Process::of(&upstream(index), STARTED)
+}
+
+/// A message with something in each field.
+fn message() -> Message {
+    let mut evidence = parts::State::new(1);
+    let software = Software { service: service(), version: "v1".into() };
+    let prompt = Prompt::new([Part(1), Part(2)]);
+    for index in 0..4 {
+        let revision = evidence.revision();
+        let attempt = Attempt { prompt: &prompt, software: &software, request: index, revision };
+        evidence.record_crash(Millis(10), attempt, process(index));
+    }
+    let mut quarantine = Quarantine::new(Millis(60_000));
+    let fingerprint = Fingerprint::of(&"a".into(), b"body");
+    quarantine.record_crash(Millis(5), fingerprint, &upstream(1));
+    let urgency = Urgency { late: false, due: 5 };
+    let ready = vec![Bucket { urgency, count: 3 }, Bucket { urgency, count: 4 }];
+    let report = quota::Report {
+        epoch: 3,
+        waiting: BTreeMap::from([("route".into(), 900)]),
+        ready: ready.clone(),
+        ready_by_service: BTreeMap::from([(service(), ready)]),
+    };
+    let limit = limit::Report {
+        process: process(0),
+        rate: Some(limit::Rate::new(2.5).unwrap()),
+        age: Some(Millis(3)),
+        sent: 4,
+        online_demand: 1.5,
+        batch_demand: 0.5,
+    };
+    let origin = Announcement {
+        request: origins::Digest::of("r1"),
+        software: 0,
+        revision: 1,
+        remaining: Millis(4_000),
+    };
+    let load = Load { online: 3, batch: 2 };
+    Message {
+        vm: "vm-2".into(),
+        incarnation: Incarnation(1),
+        sequence: 1,
+        address: "10.0.0.2:7000".parse().unwrap(),
+        loads: (0..4).map(|index| (Digest::of(&upstream(index)), load)).collect(),
+        ejected: vec![(Digest::of(&upstream(1)), Millis(250))],
+        owned: vec![(0, report.clone()), (1, report)],
+        peers: vec!["10.0.0.9:7000".parse().unwrap()],
+        suspects: quarantine.suspects(Millis(20)),
+        leaving: false,
+        news: News { software: vec![software], origins: vec![origin] },
+        parts: evidence.take_report(Millis(20)),
+        limits: vec![limit],
+        place: Place::default(),
+        places: vec![Place::default()],
+    }
+}
+
+/// The state of a node that messages change.
+struct Node {
+    peers: peers::State,
+    balance: balance::State,
+    quota: quota::State,
+    quarantine: Quarantine,
+    parts: parts::State,
+    origins: origins::State,
+}
+
+impl Node {
+    fn new() -> Node {
+        let entry = |index: u32| Entry {
+            service: service(),
+            address: ([10, 0, 1, index as u8], 80).into(),
+            data_centre: "here".into(),
+            version: "v1".into(),
+            slots: 8,
+            draining: false,
+            started: STARTED,
+        };
+        let mut balance = balance::State::new(balance::Settings::default(), "here".into(), 1);
+        balance.replace(&(0..4).map(|index| (upstream(index), entry(index))).collect());
+        Node {
+            peers: peers::State::new(
+                peers::Settings::default(),
+                "10.0.0.1:7000".parse().unwrap(),
+                Place::default(),
+            ),
+            balance,
+            quota: quota::State::new(2),
+            quarantine: Quarantine::new(Millis(60_000)),
+            parts: parts::State::new(2),
+            origins: origins::State::default(),
+        }
+    }
+
+    /// Applies a message as the node does, and then decides by it.
+    fn handle(&mut self, now: Millis, message: Message) {
+        self.origins.merge(now, message.news.clone());
+        if self.peers.handle_message(now, &message) {
+            self.balance.update_loads(now, &message.vm, message.loads);
+            self.balance.update_ejections(now, &message.vm, &message.ejected);
+            self.quarantine.merge(now, message.suspects);
+            self.parts.merge(now, message.parts);
+            let (vm, incarnation) = (&message.vm, message.incarnation);
+            self.balance.update_limits(now, vm, incarnation, message.limits);
+            for (partition, report) in message.owned {
+                self.quota.apply_report(partition, report);
+            }
+        }
+        self.decide(now);
+    }
+
+    fn decide(&mut self, now: Millis) {
+        self.peers.start_round(now, true);
+        self.peers.expire(now);
+        self.peers.collectors();
+        let (service, excluded) = (service(), BTreeSet::new());
+        for class in [Class::Online, Class::Batch] {
+            let criteria = Criteria {
+                service: &service,
+                class,
+                excluded: &excluded,
+                version: None,
+                objective: Millis(300),
+            };
+            if let Ok(pick) = self.balance.choose(now, criteria) {
+                self.balance.finish(now, &pick, balance::Outcome::Succeeded);
+            }
+        }
+        self.balance.occupancy(now, &service);
+        self.balance.free_batch_slots(now, &service);
+        self.balance.excess_batch();
+        self.balance.own_limits(now);
+        self.balance.own_ejections(now);
+        self.quota.count_ahead(0, &service, Urgency { late: false, due: u64::MAX });
+        self.quota.reserve(now, &"job".into(), &"route".into(), 10, 1_000);
+        self.quarantine.most_crashes(now, 12);
+        self.parts.take_report(now);
+        self.parts.remaining_block(now, &Prompt::new([Part(1), Part(2)]));
+        self.origins.take_news(now);
+    }
+}
+
+/// Changes some bytes.
+fn mutate(bytes: &mut Vec<u8>, changes: &[(prop::sample::Index, u8)], length: Option<u16>) {
+    for (index, value) in changes {
+        let position = index.index(bytes.len());
+        bytes[position] = *value;
+    }
+    if let Some(length) = length {
+        bytes.truncate(usize::from(length));
+    }
+}
+
+fn config() -> Config {
+    let cases = std::env::var("MALFORMED_CASES").ok().and_then(|cases| cases.parse().ok());
+    Config {
+        cases: cases.unwrap_or(4_000),
+        rng_seed: RngSeed::Fixed(34),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+prop_compose! {
+    fn changes()(
+        changes in prop::collection::vec(
+            (any::<prop::sample::Index>(), prop_oneof![Just(0xff_u8), Just(0x7f), any::<u8>()]),
+            1..40,
+        ),
+        length in prop::option::weighted(0.1, 0_u16..600),
+    ) -> (Vec<(prop::sample::Index, u8)>, Option<u16>) {
+        (changes, length)
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// One malformed gossip message must not end the process.
+    #[test]
+    fn malformed_gossip_ends_no_node(changes in prop::collection::vec(changes(), 1..4)) {
+        let valid = message().encode().unwrap();
+        let mut node = Node::new();
+        for (index, (changes, length)) in changes.iter().enumerate() {
+            let mut bytes = valid.clone();
+            mutate(&mut bytes, changes, *length);
+            if let Ok(message) = Message::decode(&bytes) {
+                node.handle(Millis(100 * index as u64), message);
+            }
+        }
+        node.handle(Millis(1_000), Message { sequence: u64::MAX, ..message() });
+    }
+
+    /// One malformed datagram of a collector or a member must not end the process.
+    #[test]
+    fn malformed_loads_end_no_node(changes in prop::collection::vec(changes(), 1..6)) {
+        let load = Load { online: 3, batch: 2 };
+        let loads: balance::Loads =
+            (0..4).map(|index| (Digest::of(&upstream(index)), load)).collect();
+        let sum = Sum { nodes: 3, loads: loads.clone() };
+        let version = Version { incarnation: Incarnation(1), sequence: 1 };
+        let datagrams = [
+            Datagram::Member { version, loads: loads.clone() },
+            Datagram::Place { version, place: Place::default(), sum: sum.clone() },
+            Datagram::Fleet { version, included: version, sum },
+        ];
+        let (mut member, mut collector) = (Member::new(Incarnation(1)), Collector::default());
+        member.report(Millis(0), &loads);
+        let mut node = Node::new();
+        for (index, (changes, length)) in changes.iter().enumerate() {
+            let mut bytes = datagrams[index % datagrams.len()].encode().unwrap();
+            mutate(&mut bytes, changes, *length);
+            let (now, from) = (Millis(10), ([10, 0, 0, 2 + index as u8], 7_002).into());
+            match Datagram::decode(&bytes) {
+                Ok(Datagram::Member { version, loads }) => {
+                    collector.record_member(now, from, version, loads);
+                }
+                Ok(Datagram::Place { version, place, sum }) => {
+                    collector.record_place(now, from, version, place, sum);
+                }
+                Ok(Datagram::Fleet { version, included, sum }) => {
+                    let loads = member.apply(now, from, version, included, sum);
+                    loads.into_iter().for_each(|loads| node.balance.update_fleet_loads(now, loads));
+                }
+                Err(_) => {}
+            }
+            collector.fleet_sum(Place::of(&"elsewhere".into()));
+            node.decide(now);
+        }
+    }
+
+    /// Bytes that are no datagram at all.
+    #[test]
+    fn random_bytes_end_no_node(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let mut node = Node::new();
+        if let Ok(message) = Message::decode(&bytes) {
+            node.handle(Millis(0), message);
+        }
+        let _ = Datagram::decode(&bytes);
+        let _ = origins::Datagram::decode(&bytes);
+    }
+}
+
+/// Well-formed messages may hold any numbers, which are added up.
+#[test]
+fn extreme_values_end_no_node() {
+    let mut node = Node::new();
+    for sender in 0..3_u8 {
+        let mut message = message();
+        message.vm = format!("vm-{sender}").as_str().into();
+        message.address = ([10, 0, 0, 2 + sender], 7_000).into();
+        message.sequence = u64::MAX;
+        for load in message.loads.values_mut() {
+            *load = Load { online: u32::MAX, batch: u32::MAX };
+        }
+        message.ejected = vec![(Digest::of(&upstream(1)), Millis(u64::MAX))];
+        for (_, report) in &mut message.owned {
+            report.epoch = u64::MAX;
+            report.waiting = BTreeMap::from([("route".into(), u64::MAX)]);
+            for bucket in
+                report.ready.iter_mut().chain(report.ready_by_service.values_mut().flatten())
+            {
+                bucket.count = u32::MAX;
+            }
+        }
+        for origin in &mut message.news.origins {
+            (origin.software, origin.remaining) = (u32::MAX, Millis(u64::MAX));
+        }
+        for (_, evidence) in &mut message.parts.parts {
+            evidence.position = u8::MAX;
+            for (_, crash) in &mut evidence.crashes {
+                (crash.round, crash.at) = (u8::MAX, Millis(u64::MAX));
+            }
+        }
+        for limit in &mut message.limits {
+            (limit.age, limit.sent) = (Some(Millis(u64::MAX)), u32::MAX);
+            (limit.online_demand, limit.batch_demand) = (f32::MAX, f32::NAN);
+        }
+        let message = Message::decode(&message.encode().unwrap()).unwrap();
+        node.handle(Millis(u64::from(sender)), message);
+    }
+    node.decide(Millis(u64::MAX));
+}
