fix(batch): add the tokens of a job up without overflow

A caller states the tokens of each item. Their sum overflowed: a debug build panicked in the owner of the partition, a release build wrapped around, so that a job of any size fitted the quota of its route. Sums of tokens saturate now.

tokens_of_a_job_add_up_without_overflow failed before (attempt to add with overflow, 1 of 1).

--- a/serving/src/batch/ledger/job.rs
+++ b/serving/src/batch/ledger/job.rs
@@ -90,7 +90,7 @@
             saved: false,
         };
         let items = vec![tracked; head.items.len()];
-        let waiting_tokens = head.items.iter().map(|item| item.tokens).sum();
+        let waiting_tokens = head.tokens();
         Job {
             head,
             results: Vec::new(),
@@ -127,7 +127,7 @@
             return None;
         }
         tracked.stage = Stage::Done;
-        self.waiting_tokens -= self.head.items[index].tokens;
+        self.waiting_tokens = self.waiting_tokens.saturating_sub(self.head.items[index].tokens);
         self.results.push(outcome);
         Some(self.results.len() as u32 - 1)
     }
--- a/serving/src/batch/owner/calls.rs
+++ b/serving/src/batch/owner/calls.rs
@@ -87,7 +87,7 @@
             let _ = reply.send(Err(Unavailable::NotAccepted));
             return;
         };
-        let tokens = head.items.iter().map(|item| item.tokens).sum();
+        let tokens = head.tokens();
         let reservation = Reservation { job: id.clone(), route: route.id.clone(), tokens };
         self.submitted.insert(
             id.clone(),
--- a/serving/src/batch/owner/mod.rs
+++ b/serving/src/batch/owner/mod.rs
@@ -281,7 +281,8 @@
         let mut waiting = BTreeMap::new();
         for (_, job) in self.ledger.jobs().filter(|(_, job)| !job.cancelled) {
             if let Some(route) = self.find_route(&job.head) {
-                *waiting.entry(route.id.clone()).or_default() += job.waiting_tokens;
+                let tokens: &mut u64 = waiting.entry(route.id.clone()).or_default();
+                *tokens = tokens.saturating_add(job.waiting_tokens);
             }
         }
         let mut all: Vec<order::WaitingItem> = waiting_items.values().flatten().cloned().collect();
--- a/serving/src/batch/record.rs
+++ b/serving/src/batch/record.rs
@@ -26,6 +26,13 @@
     pub items: Vec<Item>,
 }
 
+impl Head {
+    /// Tokens of all items. Saturates, because callers may state any number.
+    pub(crate) fn tokens(&self) -> u64 {
+        self.items.iter().map(|item| item.tokens).fold(0, u64::saturating_add)
+    }
+}
+
 /// One request of a job, sent to an upstream with POST.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Item {
--- a/serving/tests/ledger.rs
+++ b/serving/tests/ledger.rs
@@ -280,3 +280,20 @@
         }
     }
 }
+
+/// A caller may state any number of tokens; their sum must neither end the owner nor wrap around to
+/// a job that fits every quota.
+#[test]
+fn tokens_of_a_job_add_up_without_overflow() {
+    let mut head = head(3);
+    head.items.iter_mut().for_each(|item| item.tokens = u64::MAX / 2 + 1);
+    let mut ledger = Ledger::default();
+    ledger.submit(&JobId::from("job"), head, Millis(18_000), CHUNK_BYTES).unwrap();
+    ledger.confirm_job(&JobId::from("job"));
+    let waiting = |ledger: &Ledger| ledger.jobs().map(|(_, job)| job.waiting_tokens).max();
+    assert_eq!(waiting(&ledger), Some(u64::MAX));
+    for index in 0..3 {
+        run_item(&mut ledger, index, &RunEnd::Complete, 3);
+    }
+    assert_eq!(waiting(&ledger), Some(0));
+}
