--- a/serving/src/batch/schedule.rs
+++ b/serving/src/batch/schedule.rs
@@ -32,7 +32,7 @@
     ahead: impl Fn(Urgency) -> u32,
 ) -> usize {
     let fits = |(index, entry): &(usize, &WaitingItem)| {
-        ahead(entry.urgency) + (*index as u32) < free_slots
+        ahead(entry.urgency).saturating_add(*index as u32) < free_slots
     };
     waiting.iter().enumerate().take_while(fits).count()
 }
--- a/serving/tests/malformed.rs
+++ b/serving/tests/malformed.rs
@@ -9,8 +9,9 @@
 use serving::{
     balance::{self, Class, Criteria, Digest, Load, limit},
     batch::{
-        order::{Bucket, Urgency},
-        quota,
+        ledger::ItemId,
+        order::{Bucket, Urgency, WaitingItem},
+        quota, schedule,
     },
     collector::{Collector, Datagram, Member, Place, Sum, Version},
     fleet::{Entry, Software},
@@ -167,7 +168,10 @@
         self.balance.excess_batch();
         self.balance.own_limits(now);
         self.balance.own_ejections(now);
-        self.quota.count_ahead(0, &service, Urgency { late: false, due: u64::MAX });
+        let urgency = Urgency { late: false, due: u64::MAX };
+        let item = ItemId { job: "job".into(), index: 0 };
+        let waiting = vec![WaitingItem { urgency, remaining: Millis(5), item }; 2];
+        schedule::count_starts(&waiting, 8, |urgency| self.quota.count_ahead(0, &service, urgency));
         self.quota.reserve(now, &"job".into(), &"route".into(), 10, 1_000);
         self.quarantine.most_crashes(now, 12);
         self.parts.take_report(now);
