refactor(collector): name data centres as such, and accept nearly complete sums

Place was a word for a data centre that nothing else uses. Two faults found in the same reading:

* A member ignored a sum with one node less than another.
After the loss of a collector, whose last sum included itself, members would have ignored the other one for a second and acted on old loads.
Sums with nine tenths of the nodes count now.
* Peers of an older release, whose messages name no data centre, were taken for nodes of one, and for its collectors.

--- a/serving/src/collector/message.rs
+++ b/serving/src/collector/message.rs
@@ -14,11 +14,11 @@
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
-pub struct Place(u32);
+pub struct DataCentreDigest(u32);
 
-impl Place {
-    pub fn of(data_centre: &DataCentre) -> Place {
-        Place(xxh3_64(data_centre.0.as_bytes()) as u32)
+impl DataCentreDigest {
+    pub fn of(data_centre: &DataCentre) -> DataCentreDigest {
+        DataCentreDigest(xxh3_64(data_centre.0.as_bytes()) as u32)
     }
 }
 
@@ -53,7 +53,7 @@
     /// Loads of a node, for the collectors of its data centre.
     Member { version: Version, loads: Loads },
     /// Loads of a data centre, from one of its collectors to those of the others.
-    Place { version: Version, place: Place, sum: Sum },
+    DataCentre { version: Version, data_centre: DataCentreDigest, sum: Sum },
     /// Loads of the fleet, from a collector to a member. `included` is the version of the member's
     /// own loads that the sum includes.
     Fleet { version: Version, included: Version, sum: Sum },
--- a/serving/src/collector/state.rs
+++ b/serving/src/collector/state.rs
@@ -8,7 +8,7 @@
 
 use crate::{balance::Loads, id::Incarnation, time::Millis};
 
-use super::{Place, Sum, Version};
+use super::{DataCentreDigest, Sum, Version};
 
 /// Time after which loads expire that are not sent again.
 const EXPIRY: Millis = Millis(1_000);
@@ -17,6 +17,10 @@
 /// Number of own reports that a member remembers. A collector includes one of them in its sum.
 const MAX_REPORTS: usize = 16;
 
+/// Share of the nodes of the most complete sum that a sum must include. Collectors that are as good as
+/// each other differ by nodes that start, stop or lose a datagram.
+const MIN_NODES_SHARE: f64 = 0.9;
+
 /// Interval at which a collector sends its sums, if they are small.
 pub(super) const INTERVAL: Millis = Millis(50);
 /// Longest interval, less than half of [`EXPIRY`], so that a single lost sum expires no loads.
@@ -60,7 +64,7 @@
 pub struct Collector {
     members: BTreeMap<SocketAddr, Received<Loads>>,
     /// By data centre and collector.
-    places: BTreeMap<(Place, SocketAddr), Received<Sum>>,
+    data_centres: BTreeMap<(DataCentreDigest, SocketAddr), Received<Sum>>,
 }
 
 impl Collector {
@@ -76,22 +80,22 @@
     }
 
     /// Records the loads of another data centre, as one of its collectors knows them.
-    pub fn record_place(
+    pub fn record_data_centre(
         &mut self,
         now: Millis,
         collector: SocketAddr,
         version: Version,
-        place: Place,
+        data_centre: DataCentreDigest,
         sum: Sum,
     ) {
         let received = Received { version, at: now, content: sum };
-        insert_newer(&mut self.places, (place, collector), received);
+        insert_newer(&mut self.data_centres, (data_centre, collector), received);
     }
 
     /// Removes what has not been sent again in time.
     pub fn expire(&mut self, now: Millis) {
         self.members.retain(|_, member| now - member.at < EXPIRY);
-        self.places.retain(|_, place| now - place.at < EXPIRY);
+        self.data_centres.retain(|_, data_centre| now - data_centre.at < EXPIRY);
     }
 
     /// Whether any node takes this one for a collector of its data centre.
@@ -105,7 +109,7 @@
     }
 
     /// Loads of the members.
-    pub fn place_sum(&self) -> Sum {
+    pub fn member_sum(&self) -> Sum {
         let mut sum = Sum::default();
         for member in self.members.values() {
             sum.nodes += 1;
@@ -116,12 +120,14 @@
 
     /// Loads of the fleet. Of several collectors of one data centre the one with the most members
     /// counts. `own` is the data centre of this node.
-    pub fn fleet_sum(&self, own: Place) -> Sum {
-        let mut sum = self.place_sum();
-        let mut best: BTreeMap<Place, &Received<Sum>> = BTreeMap::new();
-        for ((place, _), received) in self.places.iter().filter(|((place, _), _)| *place != own) {
+    pub fn fleet_sum(&self, own: DataCentreDigest) -> Sum {
+        let mut sum = self.member_sum();
+        let mut best: BTreeMap<DataCentreDigest, &Received<Sum>> = BTreeMap::new();
+        for ((data_centre, _), received) in
+            self.data_centres.iter().filter(|((data_centre, _), _)| *data_centre != own)
+        {
             let rank = |received: &Received<Sum>| (received.content.nodes, received.at);
-            let known = best.entry(*place).or_insert(received);
+            let known = best.entry(*data_centre).or_insert(received);
             if rank(received) > rank(known) {
                 *known = received;
             }
@@ -174,7 +180,7 @@
     }
 
     /// Takes the sum of a collector. Returns the loads of all other nodes, or `None` if the sum is
-    /// outdated or another collector knows of more nodes.
+    /// outdated or another collector knows of far more nodes.
     pub fn apply(
         &mut self,
         now: Millis,
@@ -189,7 +195,7 @@
             return None;
         }
         let most = self.sums.values().map(|known| known.content).max().unwrap_or(0);
-        if sum.nodes < most {
+        if f64::from(sum.nodes) < f64::from(most) * MIN_NODES_SHARE {
             return None;
         }
         let (_, own) = self.reports.iter().find(|(version, _)| *version == included)?;
--- a/serving/src/collector/task.rs
+++ b/serving/src/collector/task.rs
@@ -79,8 +79,8 @@
         }
         let members: Vec<(SocketAddr, Version)> = collector.members().collect();
         let version = member.next_version();
-        let place_sum = collector.place_sum();
-        let sum = collector.fleet_sum(self.gossip.place);
+        let member_sum = collector.member_sum();
+        let sum = collector.fleet_sum(self.gossip.data_centre);
         let bytes = (members.len() + others.len()) * sum.encoded_len();
         let Some(interval) = interval_after(bytes) else {
             static TOO_LARGE: Once = Once::new();
@@ -92,8 +92,8 @@
         *next_sums_at = now + interval;
         drop(locked);
         for address in others {
-            let (place, sum) = (self.gossip.place, place_sum.clone());
-            datagrams.push((address, Datagram::Place { version, place, sum }));
+            let (data_centre, sum) = (self.gossip.data_centre, member_sum.clone());
+            datagrams.push((address, Datagram::DataCentre { version, data_centre, sum }));
         }
         for (address, included) in members {
             let datagram = Datagram::Fleet { version, included, sum: sum.clone() };
@@ -114,8 +114,8 @@
             Datagram::Member { version, loads } => {
                 collector.record_member(now, from, version, loads);
             }
-            Datagram::Place { version, place, sum } => {
-                collector.record_place(now, from, version, place, sum);
+            Datagram::DataCentre { version, data_centre, sum } => {
+                collector.record_data_centre(now, from, version, data_centre, sum);
             }
             Datagram::Fleet { version, included, sum } => {
                 if let Some(loads) = member.apply(now, from, version, included, sum) {
--- a/serving/src/peers/message.rs
+++ b/serving/src/peers/message.rs
@@ -7,7 +7,7 @@
 use crate::{
     balance::{Digest, Loads, limit},
     batch::{order::Bucket, quota::Report},
-    collector::Place,
+    collector::DataCentreDigest,
     id::{Incarnation, Service, Vm},
     origins::News,
     parts,
@@ -51,10 +51,10 @@
     pub limits: Vec<limit::Report>,
     /// Data centre of the sender. Encoded after the limits.
     #[serde(skip)]
-    pub place: Place,
+    pub data_centre: DataCentreDigest,
     /// Data centres of `peers`, in their order. Encoded last; empty in messages of older nodes.
     #[serde(skip)]
-    pub places: Vec<Place>,
+    pub data_centres: Vec<DataCentreDigest>,
 }
 
 impl Message {
@@ -64,7 +64,7 @@
         let mut bytes = postcard::to_stdvec(self)?;
         bytes.extend(postcard::to_stdvec(&(&self.news, ready))?);
         bytes.extend(postcard::to_stdvec(&(&self.parts, &self.limits))?);
-        bytes.extend(postcard::to_stdvec(&(&self.place, &self.places))?);
+        bytes.extend(postcard::to_stdvec(&(&self.data_centre, &self.data_centres))?);
         Ok(bytes)
     }
 
@@ -79,7 +79,7 @@
                 ((message.parts, message.limits), rest) = postcard::take_from_bytes(rest)?;
             }
             if !rest.is_empty() {
-                (message.place, message.places) = postcard::from_bytes(rest)?;
+                (message.data_centre, message.data_centres) = postcard::from_bytes(rest)?;
             }
             for ((_, report), ready) in message.owned.iter_mut().zip(ready) {
                 report.ready_by_service = ready;
--- a/serving/src/peers/state.rs
+++ b/serving/src/peers/state.rs
@@ -8,7 +8,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    collector::Place,
+    collector::DataCentreDigest,
     id::{Incarnation, Vm},
     time::Millis,
 };
@@ -30,13 +30,19 @@
     /// Whether the peer owned partitions as of its latest message.
     is_owner: bool,
     /// Data centre of the peer, by its own messages or by introductions.
-    place: Option<Place>,
+    data_centre: Option<DataCentreDigest>,
 }
 
 impl Peer {
     /// A peer of which only the address is known.
     fn discovered(now: Millis) -> Peer {
-        Peer { latest: None, last_message_at: None, last_seen: now, is_owner: false, place: None }
+        Peer {
+            latest: None,
+            last_message_at: None,
+            last_seen: now,
+            is_owner: false,
+            data_centre: None,
+        }
     }
 }
 
@@ -46,7 +52,7 @@
     pub recipients: Vec<SocketAddr>,
     pub introductions: Vec<SocketAddr>,
     /// Data centres of `introductions`, in their order.
-    pub places: Vec<Place>,
+    pub data_centres: Vec<DataCentreDigest>,
 }
 
 /// The peers of a node and the state of its gossip schedule.
@@ -54,7 +60,7 @@
 pub struct State {
     settings: Settings,
     own_address: SocketAddr,
-    own_place: Place,
+    own_data_centre: DataCentreDigest,
     peers: BTreeMap<SocketAddr, Peer>,
     /// When the last message was sent.
     last_sent: Option<Millis>,
@@ -68,11 +74,15 @@
 }
 
 impl State {
-    pub fn new(settings: Settings, own_address: SocketAddr, own_place: Place) -> State {
+    pub fn new(
+        settings: Settings,
+        own_address: SocketAddr,
+        own_data_centre: DataCentreDigest,
+    ) -> State {
         State {
             settings,
             own_address,
-            own_place,
+            own_data_centre,
             peers: BTreeMap::new(),
             last_sent: None,
             next_introduction: 0,
@@ -145,9 +155,10 @@
             self.last_announced = Some(now);
         }
         let introductions = self.introductions(now, max_introductions);
-        let place = |address: &SocketAddr| self.peers[address].place.unwrap_or_default();
-        let places = introductions.iter().map(place).collect();
-        Round { recipients: self.recipients(is_announcement), introductions, places }
+        let data_centre =
+            |address: &SocketAddr| self.peers[address].data_centre.unwrap_or_default();
+        let data_centres = introductions.iter().map(data_centre).collect();
+        Round { recipients: self.recipients(is_announcement), introductions, data_centres }
     }
 
     /// Adds the node at `address` as a peer. In a large fleet, where a node receives messages from
@@ -182,13 +193,19 @@
         peer.last_message_at = Some(now);
         peer.last_seen = now;
         peer.is_owner = !message.owned.is_empty();
-        peer.place = Some(message.place);
+        // Messages of older nodes name none.
+        if message.data_centre != DataCentreDigest::default() {
+            peer.data_centre = Some(message.data_centre);
+        }
         self.last_received = Some(now);
-        let places = message.places.iter().copied().map(Some).chain(std::iter::repeat(None));
-        for (address, place) in message.peers.iter().zip(places) {
+        let named = |digest: &DataCentreDigest| {
+            Some(*digest).filter(|digest| *digest != DataCentreDigest::default())
+        };
+        let data_centres = message.data_centres.iter().map(named).chain(std::iter::repeat(None));
+        for (address, data_centre) in message.peers.iter().zip(data_centres) {
             self.discover(now, *address);
             if let Some(peer) = self.peers.get_mut(address) {
-                peer.place = peer.place.or(place);
+                peer.data_centre = peer.data_centre.or(data_centre);
             }
         }
         if message.leaving {
@@ -207,22 +224,23 @@
         if !self.is_large() {
             return (Vec::new(), Vec::new());
         }
-        let mut places: BTreeMap<Place, Vec<(u64, SocketAddr)>> = BTreeMap::new();
-        let known = self.peers.iter().filter_map(|(address, peer)| Some((peer.place?, *address)));
-        for (place, address) in known.chain([(self.own_place, self.own_address)]) {
+        let mut data_centres: BTreeMap<DataCentreDigest, Vec<(u64, SocketAddr)>> = BTreeMap::new();
+        let known =
+            self.peers.iter().filter_map(|(address, peer)| Some((peer.data_centre?, *address)));
+        for (data_centre, address) in known.chain([(self.own_data_centre, self.own_address)]) {
             let draw = xxh3_64(address.to_string().as_bytes());
-            places.entry(place).or_default().push((draw, address));
+            data_centres.entry(data_centre).or_default().push((draw, address));
         }
-        for candidates in places.values_mut() {
+        for candidates in data_centres.values_mut() {
             candidates.sort();
             candidates.truncate(COLLECTOR_COUNT);
         }
-        let own = places.remove(&self.own_place).unwrap_or_default();
+        let own = data_centres.remove(&self.own_data_centre).unwrap_or_default();
         let rank = own.iter().position(|(_, address)| *address == self.own_address).unwrap_or(0);
         let same_rank = |candidates: &Vec<(u64, SocketAddr)>| {
             candidates.get(rank).or(candidates.last()).map(|(_, address)| *address)
         };
-        let others = places.values().filter_map(same_rank).collect();
+        let others = data_centres.values().filter_map(same_rank).collect();
         (own.into_iter().map(|(_, address)| address).collect(), others)
     }
 
--- a/serving/src/peers/task.rs
+++ b/serving/src/peers/task.rs
@@ -10,7 +10,7 @@
 use crate::{
     balance::Loads,
     batch::{Group, quota::Report},
-    collector::Place,
+    collector::DataCentreDigest,
     exchange::Context,
     id::{Incarnation, Vm},
     time::Millis,
@@ -34,7 +34,7 @@
     pub vm: Vm,
     pub incarnation: Incarnation,
     pub address: SocketAddr,
-    pub place: Place,
+    pub data_centre: DataCentreDigest,
     pub state: Mutex<State>,
     pub context: Arc<Context>,
     pub group: Arc<Group>,
@@ -50,7 +50,7 @@
         sequence: u64,
         update: Update,
         introductions: Vec<SocketAddr>,
-        places: Vec<Place>,
+        data_centres: Vec<DataCentreDigest>,
         now: Millis,
     ) -> Message {
         let (loads, owned) = update;
@@ -72,8 +72,8 @@
             news: self.context.origins.state().take_news(now),
             parts: self.context.parts().take_report(now),
             limits,
-            place: self.place,
-            places,
+            data_centre: self.data_centre,
+            data_centres,
         }
     }
 
@@ -114,9 +114,9 @@
         }
         sequence += 1;
         last_update = update.clone();
-        let Round { recipients, introductions, places } =
+        let Round { recipients, introductions, data_centres } =
             gossip.state().start_round(now, !update.1.is_empty());
-        let message = gossip.build_message(sequence, update, introductions, places, now);
+        let message = gossip.build_message(sequence, update, introductions, data_centres, now);
         send(&socket, &message, recipients).await;
     }
 }
