--- a/serving/src/exchange/trace.rs
+++ b/serving/src/exchange/trace.rs
@@ -2,6 +2,8 @@
 
 use std::{fmt::Write, sync::Arc};
 
+use prometheus_client::metrics::histogram::Histogram;
+
 use crate::{balance::Refusal, metrics::RouteLabel, time::Millis};
 
 use super::{Context, RoutedRequest, task::Permit};
@@ -28,6 +30,8 @@
     latest_event: Option<Millis>,
     /// Longest time between two events of a stream.
     max_pause: Millis,
+    /// Histogram of the pauses of the route, from the second event on.
+    pauses: Option<Histogram>,
     is_finished: bool,
 }
 
@@ -48,6 +52,7 @@
             first_event: None,
             latest_event: None,
             max_pause: Millis(0),
+            pauses: None,
             is_finished: false,
         }
     }
@@ -98,9 +103,11 @@
         if let Some(previous) = self.latest_event.replace(elapsed) {
             let pause = elapsed - previous;
             self.max_pause = self.max_pause.max(pause);
-            let metrics = &self.context.metrics;
-            let route = RouteLabel { route: self.route.clone() };
-            metrics.event_pause.get_or_create(&route).observe(pause.0 as f64 / 1_000.0);
+            let pauses = self.pauses.get_or_insert_with(|| {
+                let route = RouteLabel { route: self.route.clone() };
+                self.context.metrics.event_pause.get_or_create(&route).clone()
+            });
+            pauses.observe(pause.0 as f64 / 1_000.0);
         }
     }
 
