feat(metrics): count failed sends by kind, and ejections on the word of other nodes

Logs and metrics could not tell the hypotheses on nodes without a path to upstreams apart: a failed connection, a silent open one and a crash all counted as `failed`, and an upstream that a node ejected only because others reported failures left no trace. Now send_failures counts by class and kind, and such an ejection has a line with its witnesses and a counter.

--- a/serving/src/balance/mod.rs
+++ b/serving/src/balance/mod.rs
@@ -12,4 +12,4 @@
 pub use load::{Digest, Load, Loads, Stated};
 pub use request::{Class, Criteria, Outcome, Pick, Refusal};
 pub use settings::Settings;
-pub use state::State;
+pub use state::{Ejection, State};
--- a/serving/src/balance/replica.rs
+++ b/serving/src/balance/replica.rs
@@ -150,8 +150,12 @@
 
     /// Whether the upstream is ejected by this node or by at least `eject_witnesses` others.
     pub(super) fn is_ejected(&self, now: Millis, settings: &Settings) -> bool {
-        let witnesses = self.ejected_by.values().filter(|until| **until > now).count();
-        self.ejected_until > now || witnesses >= settings.eject_witnesses
+        self.ejected_until > now || self.witnesses(now) >= settings.eject_witnesses
+    }
+
+    /// Number of other nodes that have ejected the upstream.
+    pub(super) fn witnesses(&self, now: Millis) -> usize {
+        self.ejected_by.values().filter(|until| **until > now).count()
     }
 
     pub(super) fn record_success(&mut self) {
--- a/serving/src/balance/request.rs
+++ b/serving/src/balance/request.rs
@@ -1,6 +1,6 @@
 //! Input and results of load balancing.
 
-use std::{collections::BTreeSet, net::SocketAddr};
+use std::{collections::BTreeSet, fmt, net::SocketAddr};
 
 use crate::{
     id::{Service, Upstream, Version},
@@ -14,6 +14,15 @@
     Batch,
 }
 
+impl fmt::Display for Class {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Class::Online => "online",
+            Class::Batch => "batch",
+        })
+    }
+}
+
 /// Constraints on the choice of an upstream for one request.
 #[derive(Clone, Copy, Debug)]
 pub struct Criteria<'a> {
--- a/serving/src/balance/state.rs
+++ b/serving/src/balance/state.rs
@@ -59,6 +59,15 @@
     next_expiry: Millis,
 }
 
+/// An upstream that counts as ejected since other nodes report failures.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ejection {
+    pub upstream: Upstream,
+    pub service: Service,
+    /// Number of other nodes that have ejected the upstream.
+    pub witnesses: usize,
+}
+
 /// The upstreams of one service.
 #[derive(Default)]
 pub(super) struct Members {
@@ -168,14 +177,27 @@
         }
     }
 
-    /// Applies the ejections that another node reported, with the time that is left of each.
-    pub fn update_ejections(&mut self, now: Millis, vm: &Vm, ejected: &[(Digest, Millis)]) {
+    /// Applies the ejections that another node reported, with the time that is left of each. Returns
+    /// the upstreams that count as ejected from now on.
+    pub fn update_ejections(
+        &mut self,
+        now: Millis,
+        vm: &Vm,
+        ejected: &[(Digest, Millis)],
+    ) -> Vec<Ejection> {
+        let mut ejections = Vec::new();
         for (digest, remaining) in ejected {
             let upstream = self.by_digest.get(digest);
-            if let Some(replica) = upstream.and_then(|id| self.replicas.get_mut(id)) {
-                replica.ejected_by.insert(vm.clone(), now + *remaining);
+            let Some(upstream) = upstream else { continue };
+            let Some(replica) = self.replicas.get_mut(upstream) else { continue };
+            let was_ejected = replica.is_ejected(now, &self.settings);
+            replica.ejected_by.insert(vm.clone(), now + *remaining);
+            if !was_ejected && replica.is_ejected(now, &self.settings) {
+                let (upstream, service) = (upstream.clone(), replica.entry.service.clone());
+                ejections.push(Ejection { upstream, service, witnesses: replica.witnesses(now) });
             }
         }
+        ejections
     }
 
     /// Ejections by this node, with the time that is left of each.
--- a/serving/src/batch/run.rs
+++ b/serving/src/batch/run.rs
@@ -91,6 +91,7 @@
                 (end, String::new())
             }
             Err(failure) => {
+                self.context.count_failure(&self.permit.pick, &failure);
                 self.permit.outcome = match failure.kind {
                     FailureKind::Overloaded => Outcome::Full,
                     _ => Outcome::Failed,
--- a/serving/src/exchange/driver.rs
+++ b/serving/src/exchange/driver.rs
@@ -289,6 +289,7 @@
         let current = self.current.as_ref()?;
         self.trace.record_failure(&current.permit, &failure.message);
         let permit = &current.permit;
+        self.context.count_failure(&permit.pick, &failure);
         report_crash(&self.context, &self.routed, self.fingerprint, permit, &failure);
         let now = self.context.clock.now();
         let action = self.state.record_failure(now, &current.permit.pick.upstream, &failure);
@@ -326,6 +327,7 @@
             }
             Err(failure) => {
                 let permit = &successor.permit;
+                self.context.count_failure(&permit.pick, &failure);
                 report_crash(&self.context, &self.routed, self.fingerprint, permit, &failure);
                 failure
             }
--- a/serving/src/exchange/task.rs
+++ b/serving/src/exchange/task.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 
 use crate::{
-    balance::{self, Class, Criteria, Outcome, Pick, Refusal, limit},
+    balance::{self, Class, Criteria, Digest, Outcome, Pick, Refusal, limit},
     catalog::Route,
     fleet::{self, Software},
     id::{Incarnation, Process, Service, Version, Vm, Workspace},
@@ -196,6 +196,25 @@
         }
     }
 
+    /// Counts a failed send by its kind.
+    pub(crate) fn count_failure(&self, pick: &Pick, failure: &Failure) {
+        let (class, kind) = (pick.class.to_string(), failure.kind.to_string());
+        self.metrics.count(&self.metrics.send_failures, &class, &kind);
+    }
+
+    /// Applies the ejections of upstreams that another node reports.
+    pub(crate) fn merge_ejections(&self, now: Millis, vm: &Vm, ejected: &[(Digest, Millis)]) {
+        let ejections = self.balance().update_ejections(now, vm, ejected);
+        for ejection in ejections {
+            self.metrics.count(&self.metrics.ejections, &ejection.service.0, "peers");
+            log::info!(
+                upstream = ejection.upstream.0.as_str(), witnesses = ejection.witnesses,
+                last = vm.0.as_str();
+                "upstream ejected: other nodes report failures"
+            );
+        }
+    }
+
     fn record_leaving(&self, pick: &Pick) {
         if self.balance().record_leaving(pick) {
             self.pool.close_idle(&pick.upstream);
--- a/serving/src/metrics.rs
+++ b/serving/src/metrics.rs
@@ -36,6 +36,10 @@
     pub requests: Family<Labels, Counter>,
     /// Sends to upstreams by service and outcome.
     pub sends: Family<Labels, Counter>,
+    /// Failed sends by scheduling class and kind of failure.
+    pub send_failures: Family<Labels, Counter>,
+    /// Ejections of upstreams because of failures that other nodes report, by service.
+    pub ejections: Family<Labels, Counter>,
     /// Calls to the log service by name and outcome.
     pub log_calls: Family<Labels, Counter>,
     /// Batch events, such as accepted jobs and finished items, by kind of object and outcome.
@@ -60,6 +64,18 @@
         registry.register("requests", "Requests of callers", requests.clone());
         let sends = Family::default();
         registry.register("sends", "Sends to upstreams", sends.clone());
+        let send_failures = Family::default();
+        registry.register(
+            "send_failures",
+            "Failed sends to upstreams by kind of failure",
+            send_failures.clone(),
+        );
+        let ejections = Family::default();
+        registry.register(
+            "ejections",
+            "Ejections of upstreams by the reports of other nodes",
+            ejections.clone(),
+        );
         let log_calls = Family::default();
         registry.register("log_calls", "Calls to the log service", log_calls.clone());
         let batch_events = Family::default();
@@ -94,6 +110,8 @@
             registry,
             requests,
             sends,
+            send_failures,
+            ejections,
             log_calls,
             batch_events,
             time_to_first_byte,
--- a/serving/src/peers/task.rs
+++ b/serving/src/peers/task.rs
@@ -84,10 +84,8 @@
         if !self.state().handle_message(now, &message) {
             return;
         }
-        let mut balance = self.context.balance();
-        balance.update_loads(now, &message.vm, message.loads);
-        balance.update_ejections(now, &message.vm, &message.ejected);
-        drop(balance);
+        self.context.balance().update_loads(now, &message.vm, message.loads);
+        self.context.merge_ejections(now, &message.vm, &message.ejected);
         self.context.quarantine().merge(now, message.suspects);
         self.context.merge_parts(now, message.parts);
         self.context.merge_limits(now, &message.vm, message.incarnation, message.limits);
--- a/serving/src/upstream/call.rs
+++ b/serving/src/upstream/call.rs
@@ -1,6 +1,6 @@
 //! Sending one request to one upstream and reading the response.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
 use http::{
@@ -51,6 +51,18 @@
     Broken,
 }
 
+impl fmt::Display for FailureKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            FailureKind::Connect => "connect",
+            FailureKind::Overloaded => "overloaded",
+            FailureKind::Misdirected => "misdirected",
+            FailureKind::TimedOut => "timed_out",
+            FailureKind::Broken => "broken",
+        })
+    }
+}
+
 /// A send that failed before a complete response was read.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("{message}")]
