fix(uplink): don't take failures of a node's own path for those of upstreams

Cause: a failed connection was attributed to the upstream alone. A cut node ejected all upstreams and told its peers, where two such witnesses eject an upstream; and report_crash took any upstream that couldn't be reached for a dead one. Class of fault: the observer's own failure is attributed to what it observes.

Change: uplink::State knows the node's own path as Up, Suspect or Down. After a failed or broken connection, or silence, the node tries other upstreams; if it reaches none, its path is down, its ejections end, and requests are refused at once until a probe reaches an upstream again. Ejections go into gossip only while the path is up. A crash is counted only if the path works.

--- a/serving/src/balance/replica.rs
+++ b/serving/src/balance/replica.rs
@@ -158,6 +158,12 @@
         self.ejected_by.values().filter(|until| **until > now).count()
     }
 
+    pub(super) fn clear_failures(&mut self) {
+        self.failures = 0;
+        self.ejected_until = Millis(0);
+        self.failure_rate = 0.0;
+    }
+
     pub(super) fn record_success(&mut self) {
         self.failures = 0;
         self.ejected_until = Millis(0);
--- a/serving/src/balance/request.rs
+++ b/serving/src/balance/request.rs
@@ -58,6 +58,8 @@
 pub enum Refusal {
     /// The service has no upstream that takes requests, or the request failed at all of them.
     NoUpstream { retry_after: Millis },
+    /// This node has lost its path to the upstreams.
+    NoPath { retry_after: Millis },
     /// The prompt holds a part that crashes upstreams.
     Blocked { retry_after: Millis },
     /// The upstreams with capacity limit the rate of their requests, and the rate is used up.
@@ -71,6 +73,7 @@
     pub fn retry_after(self) -> Millis {
         match self {
             Refusal::NoUpstream { retry_after }
+            | Refusal::NoPath { retry_after }
             | Refusal::Blocked { retry_after }
             | Refusal::Limited { retry_after }
             | Refusal::Full { retry_after, .. } => retry_after,
--- a/serving/src/balance/state.rs
+++ b/serving/src/balance/state.rs
@@ -210,6 +210,15 @@
         self.ejected.iter().map(|upstream| (Digest::of(upstream), remaining(upstream))).collect()
     }
 
+    /// Ends the ejections by this node, which turned out to be failures of its own path.
+    pub fn clear_own_ejections(&mut self) {
+        for upstream in std::mem::take(&mut self.ejected) {
+            if let Some(replica) = self.replicas.get_mut(&upstream) {
+                replica.clear_failures();
+            }
+        }
+    }
+
     /// Requests of this node in flight.
     pub fn own_loads(&self) -> &Loads {
         &self.own_loads
--- a/serving/src/batch/run.rs
+++ b/serving/src/batch/run.rs
@@ -12,6 +12,7 @@
     balance::Outcome,
     exchange::{Context, Permit, events::Splitter},
     time::Millis,
+    uplink::{Sign, check_path},
     upstream::{Failure, FailureKind, Options, Request},
 };
 
@@ -92,6 +93,17 @@
             }
             Err(failure) => {
                 self.context.count_failure(&self.permit.pick, &failure);
+                let sign = match failure.kind {
+                    FailureKind::TimedOut => Some(Sign::Silence),
+                    FailureKind::Broken => Some(Sign::ConnectionBroke),
+                    // The send itself reports these.
+                    FailureKind::Connect | FailureKind::Overloaded | FailureKind::Misdirected => {
+                        None
+                    }
+                };
+                if let Some(sign) = sign {
+                    check_path(&self.context, &self.permit.pick, sign);
+                }
                 self.permit.outcome = match failure.kind {
                     FailureKind::Overloaded => Outcome::Full,
                     _ => Outcome::Failed,
--- a/serving/src/batch/schedule.rs
+++ b/serving/src/batch/schedule.rs
@@ -17,7 +17,7 @@
 /// whose upstreams refused it, instead of starting over.
 pub fn waits_for_software(refusal: Refusal, waited: Millis) -> bool {
     let may_take_it_later = match refusal {
-        Refusal::Full { .. } | Refusal::Limited { .. } => true,
+        Refusal::Full { .. } | Refusal::Limited { .. } | Refusal::NoPath { .. } => true,
         Refusal::NoUpstream { .. } | Refusal::Blocked { .. } => false,
     };
     may_take_it_later && waited < RESUME_PATIENCE
--- a/serving/src/exchange/driver.rs
+++ b/serving/src/exchange/driver.rs
@@ -14,6 +14,7 @@
     id::Version,
     quarantine::{Fingerprint, Status},
     time::Millis,
+    uplink::{Sign, check_path},
     upstream::{self, Body, Failure},
 };
 
@@ -399,6 +400,7 @@
         let was_silent = std::mem::replace(&mut current.is_silent, true);
         if !was_silent {
             self.trace.record_silence(&current.permit);
+            check_path(&self.context, &current.permit.pick, Sign::Silence);
             self.context.balance().record_failure(now, &current.permit.pick.upstream);
         }
         match self.choose() {
--- a/serving/src/exchange/task.rs
+++ b/serving/src/exchange/task.rs
@@ -17,7 +17,8 @@
     parts::{self, Prompt},
     quarantine::{Fingerprint, Quarantine, Status},
     time::{Clock, Millis},
-    upstream::{self, Codec, Failure, Pool, Request},
+    uplink::{self, Health, Sign, Verdict},
+    upstream::{self, Codec, Failure, FailureKind, Pool, Request},
 };
 
 use super::{
@@ -40,6 +41,8 @@
     pub parts: Mutex<parts::State>,
     pub fleet: Arc<Mutex<fleet::State>>,
     pub origins: Arc<Origins>,
+    /// Whether this node itself reaches the upstreams.
+    pub uplink: Mutex<uplink::State>,
     pub pool: Arc<Pool>,
     pub codec: Arc<dyn Codec>,
     pub metrics: Arc<Metrics>,
@@ -98,6 +101,14 @@
         self.parts.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    pub(crate) fn uplink(&self) -> MutexGuard<'_, uplink::State> {
+        self.uplink.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn fleet(&self) -> MutexGuard<'_, fleet::State> {
+        self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Applies what another node reports about parts of prompts.
     pub(crate) fn merge_parts(&self, now: Millis, report: parts::Report) {
         let changes = self.parts().merge(now, report);
@@ -133,6 +144,10 @@
         objective: Millis,
     ) -> Result<Permit, Refusal> {
         let now = self.clock.now();
+        if self.uplink().health() == Health::Down {
+            let retry_after = self.balance().retry_after();
+            return Err(Refusal::NoPath { retry_after });
+        }
         let criteria = Criteria { service, class, excluded, version, objective };
         let known_crashes = self.parts().revision();
         let pick = self.balance().choose(now, criteria)?;
@@ -145,7 +160,7 @@
     /// Sends a request to the upstream of `pick`, which gets no further requests if it says in its
     /// response that it is leaving.
     pub(crate) async fn send(
-        &self,
+        self: &Arc<Context>,
         request: &Request,
         options: upstream::Options<'_>,
         pick: &Pick,
@@ -164,7 +179,12 @@
             }
         };
         let codec = self.codec.as_ref();
-        self.pool.send(codec, request, options, pick.address, is_retryable, &on_head).await
+        let sending = self.pool.send(codec, request, options, pick.address, is_retryable, &on_head);
+        let result = sending.await;
+        if result.as_ref().is_err_and(|failure| failure.kind == FailureKind::Connect) {
+            uplink::check_path(self, pick, Sign::ConnectFailed);
+        }
+        result
     }
 
     /// Records the rate limit in a response of the upstream of `pick`. A response that names
@@ -300,8 +320,8 @@
     Fingerprint::of(&scope, &routed.request.body)
 }
 
-/// Counts a crash against the request if its connection broke and the upstream is unreachable
-/// afterwards. The connection attempt runs in the background.
+/// Counts a crash against the request if its connection broke and the upstream is down afterwards, not
+/// only the path to it. The examination runs in the background.
 pub(super) fn report_crash(
     context: &Arc<Context>,
     routed: &Arc<RoutedRequest>,
@@ -312,11 +332,12 @@
     if !state::may_be_crash(failure) {
         return;
     }
+    uplink::check_path(context, &permit.pick, Sign::ConnectionBroke);
     let (context, routed, pick) = (Arc::clone(context), Arc::clone(routed), permit.pick.clone());
     let software = permit.software(&routed);
     let known_crashes = permit.known_crashes;
     tokio::spawn(async move {
-        if context.pool.is_reachable(pick.address).await {
+        if uplink::examine(&context, &pick).await == Verdict::NotUpstream {
             return;
         }
         let now = context.clock.now();
--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -24,4 +24,5 @@
 pub mod quarantine;
 pub mod telemetry;
 pub mod time;
+pub mod uplink;
 pub mod upstream;
--- a/serving/src/metrics.rs
+++ b/serving/src/metrics.rs
@@ -40,6 +40,8 @@
     pub send_failures: Family<Labels, Counter>,
     /// Ejections of upstreams because of failures that other nodes report, by service.
     pub ejections: Family<Labels, Counter>,
+    /// Whether this node's own path to the upstreams works: 1 or 0.
+    pub uplink_up: Gauge,
     /// Calls to the log service by name and outcome.
     pub log_calls: Family<Labels, Counter>,
     /// Batch events, such as accepted jobs and finished items, by kind of object and outcome.
@@ -76,6 +78,13 @@
             "Ejections of upstreams by the reports of other nodes",
             ejections.clone(),
         );
+        let uplink_up = Gauge::default();
+        uplink_up.set(1);
+        registry.register(
+            "uplink_up",
+            "Whether the node's own path to the upstreams works",
+            uplink_up.clone(),
+        );
         let log_calls = Family::default();
         registry.register("log_calls", "Calls to the log service", log_calls.clone());
         let batch_events = Family::default();
@@ -112,6 +121,7 @@
             sends,
             send_failures,
             ejections,
+            uplink_up,
             log_calls,
             batch_events,
             time_to_first_byte,
--- a/serving/src/node.rs
+++ b/serving/src/node.rs
@@ -69,6 +69,7 @@
             balance: Mutex::new(balance),
             quarantine: Mutex::new(Quarantine::new(QUARANTINE_RETENTION)),
             parts: Mutex::new(parts::State::new(identity.seed)),
+            uplink: Mutex::default(),
             pool: Arc::new(upstream::Pool::new(settings.pool)),
             codec,
             metrics,
--- a/serving/src/peers/task.rs
+++ b/serving/src/peers/task.rs
@@ -14,6 +14,7 @@
     exchange::Context,
     id::{Incarnation, Vm},
     time::Millis,
+    uplink::Health,
 };
 
 use super::{Message, Round, State};
@@ -54,10 +55,13 @@
         now: Millis,
     ) -> Message {
         let (loads, owned) = update;
+        let health = self.context.uplink().health();
         let (ejected, limits) = {
             let mut balance = self.context.balance();
             (balance.own_ejections(now), balance.own_limits(now))
         };
+        // Failures that may be those of the node's own path say nothing of upstreams.
+        let ejected = if health == Health::Up { ejected } else { Vec::new() };
         Message {
             vm: self.vm.clone(),
             incarnation: self.incarnation,
--- a/serving/tests/jobs.rs
+++ b/serving/tests/jobs.rs
@@ -178,6 +178,7 @@
             balance: Mutex::new(balance),
             quarantine: Mutex::new(Quarantine::new(Millis(60_000))),
             parts: Mutex::new(parts::State::new(1)),
+            uplink: Mutex::default(),
             pool: Arc::new(Pool::new(upstream::Settings::default())),
             codec,
             metrics: Arc::new(Metrics::default()),
