fix(forward): send requests through other nodes while a node has no path to the upstreams

Callers of nodes that had lost their links to all upstreams were served 14 to 34 of 76 to 168 first tries while a cut hung, and 32 to 58 of 80 to 136 while new connections were refused; callers of the other nodes nearly always.

Cause: the only path of a request was its node's own. A node without one could offer nothing but a refusal, however many nodes beside it reached all upstreams. Class of fault: a single path to a resource that others share.

Change: a node whose path is suspect or down sends its requests through a forwarder, another node whose path works, which it knows from gossip. The forwarder sends each request once, to the upstream that the sender chose and by the registry of its own, and passes the response on as it comes. The choice of upstreams, attempts, loads, limits, versions, retries and what the caller gets stay with the sender, so what holds over one node holds over two; a forwarder uses no other forwarder. A sender that goes away cancels the request; a forwarder that stops completes what it has.

--- a/serving/src/balance/request.rs
+++ b/serving/src/balance/request.rs
@@ -58,7 +58,7 @@
 pub enum Refusal {
     /// The service has no upstream that takes requests, or the request failed at all of them.
     NoUpstream { retry_after: Millis },
-    /// This node has lost its path to the upstreams.
+    /// This node has lost its path to the upstreams, and no other node can forward requests.
     NoPath { retry_after: Millis },
     /// The prompt holds a part that crashes upstreams.
     Blocked { retry_after: Millis },
--- a/serving/src/balance/state.rs
+++ b/serving/src/balance/state.rs
@@ -219,6 +219,10 @@
         }
     }
 
+    pub(crate) fn data_centre(&self) -> &DataCentre {
+        &self.data_centre
+    }
+
     /// Requests of this node in flight.
     pub fn own_loads(&self) -> &Loads {
         &self.own_loads
--- a/serving/src/exchange/driver.rs
+++ b/serving/src/exchange/driver.rs
@@ -232,6 +232,7 @@
             }
             Progress::Received(Received::Stream { parts, source }) => {
                 current.source = Source::Stream(source);
+                self.trace.record_forwarder(&parts);
                 self.resume_waiting();
                 (!self.state.has_begun()).then_some(Output::Head(parts))
             }
@@ -310,6 +311,7 @@
         let failure = match result {
             Ok(Received::Stream { parts, source }) => {
                 self.trace.record_takeover(&successor.permit);
+                self.trace.record_forwarder(&parts);
                 self.set_current(successor.permit, Source::Stream(source));
                 return (!self.state.has_begun()).then_some(Output::Head(parts));
             }
@@ -509,11 +511,12 @@
     /// Ends the request with the answer of the current run.
     fn answer(&mut self, parts: http::response::Parts, body: Bytes) -> Option<Output> {
         let mut current = self.current.take()?;
+        self.trace.record_forwarder(&parts);
         self.successor = None;
         let has_failed = parts.status.is_server_error();
         self.trace.record_answer(&current.permit, parts.status);
         current.permit.outcome = if has_failed { Outcome::Failed } else { Outcome::Succeeded };
-        if parts.status.is_success() && !upstream::is_unframed(&parts.headers) {
+        if parts.status.is_success() && !upstream::is_unframed(&parts) {
             self.context.record_answer(&self.routed, self.fingerprint, &current.permit);
         }
         if self.status == Status::Suspect && !has_failed {
--- a/serving/src/exchange/task.rs
+++ b/serving/src/exchange/task.rs
@@ -11,6 +11,7 @@
     balance::{self, Class, Criteria, Digest, Outcome, Pick, Refusal, limit},
     catalog::Route,
     fleet::{self, Software},
+    forward::{self, Forwarders},
     id::{Incarnation, Process, Service, Version, Vm, Workspace},
     metrics::Metrics,
     origins::Origins,
@@ -43,6 +44,8 @@
     pub origins: Arc<Origins>,
     /// Whether this node itself reaches the upstreams.
     pub uplink: Mutex<uplink::State>,
+    /// Nodes through which requests go while it doesn't.
+    pub forwarders: Forwarders,
     pub pool: Arc<Pool>,
     pub codec: Arc<dyn Codec>,
     pub metrics: Arc<Metrics>,
@@ -144,7 +147,7 @@
         objective: Millis,
     ) -> Result<Permit, Refusal> {
         let now = self.clock.now();
-        if self.uplink().health() == Health::Down {
+        if self.uplink().health() == Health::Down && self.forwarders.count(now) == 0 {
             let retry_after = self.balance().retry_after();
             return Err(Refusal::NoPath { retry_after });
         }
@@ -158,7 +161,8 @@
 
 impl Context {
     /// Sends a request to the upstream of `pick`, which gets no further requests if it says in its
-    /// response that it is leaving.
+    /// response that it is leaving. The request goes through another node while this node's own path
+    /// is not known to work.
     pub(crate) async fn send(
         self: &Arc<Context>,
         request: &Request,
@@ -178,6 +182,10 @@
                 }
             }
         };
+        let is_up = self.uplink().health() == Health::Up;
+        if !is_up && self.forwarders.count(self.clock.now()) > 0 {
+            return forward::send(self, request, options, pick, is_retryable, &on_head).await;
+        }
         let codec = self.codec.as_ref();
         let sending = self.pool.send(codec, request, options, pick.address, is_retryable, &on_head);
         let result = sending.await;
@@ -187,6 +195,11 @@
         result
     }
 
+    /// Counts a request that this node has `sent` through another one or has `taken` from it.
+    pub(crate) fn count_forwarded(&self, direction: &str, outcome: &str) {
+        self.metrics.count(&self.metrics.forwarded, direction, outcome);
+    }
+
     /// Records the rate limit in a response of the upstream of `pick`. A response that names
     /// something invalid neither sets nor ends a limit.
     fn record_limit(&self, pick: &Pick, limit: upstream::Limit) {
--- a/serving/src/exchange/trace.rs
+++ b/serving/src/exchange/trace.rs
@@ -4,7 +4,7 @@
 
 use prometheus_client::metrics::histogram::Histogram;
 
-use crate::{balance::Refusal, metrics::RouteLabel, time::Millis};
+use crate::{balance::Refusal, metrics::RouteLabel, time::Millis, upstream::Forwarded};
 
 use super::{Context, RoutedRequest, task::Permit};
 
@@ -82,6 +82,13 @@
         self.append_to_sends(format_args!("{} took over @{at}", permit.pick.upstream));
     }
 
+    /// Records through which node a response came, if not directly.
+    pub(super) fn record_forwarder(&mut self, parts: &http::response::Parts) {
+        if let Some(forwarded) = parts.extensions.get::<Forwarded>() {
+            self.append_to_sends(format_args!("through {}", forwarded.by));
+        }
+    }
+
     pub(super) fn record_refusal(&mut self, refusal: Refusal) {
         let at = self.elapsed();
         self.append_to_sends(format_args!("{refusal:?} @{at}"));
--- /dev/null
+++ b/serving/src/forward/client.rs
@@ -0,0 +1,238 @@
+//! Sends requests through forwarders.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Uri};
+use tokio::sync::Semaphore;
+
+use crate::{
+    balance::Pick,
+    collector::DataCentreDigest,
+    exchange::Context,
+    id::Upstream,
+    parts::Prompt,
+    time::Millis,
+    upstream::{self, Answer, Codec, Delivery, Failure, Forwarded, Head, Options, Pool, Request},
+};
+
+use super::{
+    Outcome, State,
+    message::{self, OUTCOME, PROBE, REQUEST, RETRYABLE, TIMEOUT, UNFRAMED, UPSTREAM},
+};
+
+/// Maximum number of forwarders that one send tries. Those that can't forward it don't count as
+/// attempts, because the request was not sent to an upstream.
+const MAX_TRIES: usize = 3;
+/// How long to wait for the reply to a probe: the forwarder's connect timeout and the way there.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Limit of requests of other nodes that this node forwards at the same time.
+const MAX_FORWARDED: usize = 256;
+
+/// The forwarders that a node knows, and its own capacity as a forwarder.
+pub struct Forwarders {
+    state: Mutex<State>,
+    /// Connections to forwarders.
+    pool: Arc<Pool>,
+    pub(super) capacity: Arc<Semaphore>,
+}
+
+impl Default for Forwarders {
+    fn default() -> Forwarders {
+        Forwarders {
+            state: Mutex::default(),
+            pool: Arc::new(Pool::new(upstream::Settings::default())),
+            capacity: Arc::new(Semaphore::new(MAX_FORWARDED)),
+        }
+    }
+}
+
+impl Forwarders {
+    pub fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Number of nodes that can forward a request now.
+    pub(crate) fn count(&self, now: Millis) -> usize {
+        self.state().count(now)
+    }
+
+    /// Closes expired connections to forwarders.
+    pub(crate) fn close_expired(&self) {
+        self.pool.close_expired();
+    }
+
+    fn choose(&self, now: Millis, near: &[DataCentreDigest]) -> Option<Hop<'_>> {
+        let address = self.state().choose(now, near, &mut rand::rng())?;
+        Some(Hop { forwarders: self, address })
+    }
+}
+
+/// A request at a forwarder, counted as in flight there until it is dropped.
+struct Hop<'a> {
+    forwarders: &'a Forwarders,
+    address: SocketAddr,
+}
+
+impl Drop for Hop<'_> {
+    fn drop(&mut self) {
+        self.forwarders.state().finish(self.address);
+    }
+}
+
+/// Adds the headers of this protocol to requests, and reads those of responses.
+struct HopCodec<'a> {
+    inner: &'a dyn Codec,
+    is_retryable: bool,
+    /// Why the forwarder has no response of the upstream.
+    outcome: OnceLock<Outcome>,
+    is_unframed: AtomicBool,
+}
+
+impl Codec for HopCodec<'_> {
+    fn encode(&self, request: &Request, options: Options<'_>) -> HeaderMap {
+        let mut headers = self.inner.encode(request, options);
+        message::strip(&mut headers);
+        message::insert(&mut headers, UPSTREAM, &options.upstream.0);
+        message::insert(&mut headers, REQUEST, &request.id);
+        message::insert(&mut headers, RETRYABLE, &self.is_retryable.to_string());
+        if let Some(timeout) = options.deadline {
+            message::insert(&mut headers, TIMEOUT, &timeout.as_millis().to_string());
+        }
+        headers
+    }
+
+    fn read_prompt(&self, headers: &HeaderMap) -> Prompt {
+        self.inner.read_prompt(headers)
+    }
+
+    fn decode(&self, parts: &http::response::Parts) -> Head {
+        let outcome = parts.headers.get(OUTCOME).and_then(|value| value.to_str().ok());
+        if let Some(outcome) = outcome {
+            let outcome = outcome.parse().unwrap_or(Outcome::Broken);
+            let _ = self.outcome.set(outcome);
+            // The pool discards the body and keeps the connection.
+            return Head { not_run: true, ..Head::default() };
+        }
+        self.is_unframed.store(parts.headers.contains_key(UNFRAMED), Ordering::Relaxed);
+        self.inner.decode(parts)
+    }
+}
+
+/// Sends a request to the upstream of `pick` through a forwarder, once. `on_head` sees the head of the
+/// upstream's response.
+///
+/// # Errors
+///
+/// Fails like a send of this node itself. A forwarder that doesn't get to send the request is
+/// replaced by another one.
+pub(crate) async fn send(
+    context: &Context,
+    request: &Request,
+    options: Options<'_>,
+    pick: &Pick,
+    is_retryable: bool,
+    on_head: &(dyn Fn(&Head) + Sync),
+) -> upstream::Result<Answer> {
+    let started = Instant::now();
+    let near = near_data_centres(context, &pick.upstream);
+    let forwarders = &context.forwarders;
+    for _ in 0..MAX_TRIES {
+        let Some(hop) = forwarders.choose(context.clock.now(), &near) else { break };
+        let left = options.deadline.map(|left| left.saturating_sub(started.elapsed()));
+        let options = Options { deadline: left, ..options };
+        let codec = HopCodec {
+            inner: context.codec.as_ref(),
+            is_retryable,
+            outcome: OnceLock::new(),
+            is_unframed: AtomicBool::new(false),
+        };
+        let own_head = |head: &Head| {
+            if codec.outcome.get().is_none() {
+                on_head(head);
+            }
+        };
+        let sending =
+            forwarders.pool.send(&codec, request, options, hop.address, is_retryable, &own_head);
+        let failure = match sending.await {
+            Ok(mut answer) => {
+                context.count_forwarded("sent", "answered");
+                message::strip(&mut answer.parts.headers);
+                let is_unframed = codec.is_unframed.load(Ordering::Relaxed);
+                answer.body.is_unframed = is_unframed;
+                answer.parts.extensions.insert(Forwarded { by: hop.address, is_unframed });
+                return Ok(answer);
+            }
+            Err(failure) => failure,
+        };
+        let through = |message: &str| format!("through {}: {message}", hop.address);
+        match codec.outcome.get() {
+            Some(Outcome::Unreachable) => {
+                // The forwarder may have lost its own path.
+                forwarders.state().avoid(context.clock.now(), hop.address);
+                context.count_forwarded("sent", "unreachable");
+                return Err(Failure::connect(through("the upstream can't be reached")));
+            }
+            Some(Outcome::Broken) => {
+                context.count_forwarded("sent", "broken");
+                return Err(Failure::broken(through("the exchange failed")));
+            }
+            // The forwarder passes what the upstream responds on as it is.
+            None if failure.delivery == Delivery::Refused => return Err(failure),
+            None if failure.delivery == Delivery::Sent => {
+                forwarders.state().avoid(context.clock.now(), hop.address);
+                context.count_forwarded("sent", "broken");
+                return Err(Failure { message: through(&failure.message), ..failure });
+            }
+            Some(Outcome::Refused | Outcome::Reachable) | None => {
+                forwarders.state().avoid(context.clock.now(), hop.address);
+                context.count_forwarded("sent", "refused");
+            }
+        }
+    }
+    Err(Failure::connect("no other node could forward the request".to_string()))
+}
+
+/// Asks another node whether it reaches `upstream`. `None` if there is no such node or no reply.
+pub(crate) async fn ask(context: &Context, upstream: &Upstream) -> Option<Outcome> {
+    let near = near_data_centres(context, upstream);
+    let hop = context.forwarders.choose(context.clock.now(), &near)?;
+    let mut headers = HeaderMap::new();
+    message::insert(&mut headers, PROBE, "true");
+    let request = Request {
+        id: String::new(),
+        method: Method::GET,
+        target: Uri::from_static("/"),
+        host: hop.address.to_string(),
+        headers,
+        body: Bytes::new(),
+    };
+    let codec = HopCodec {
+        inner: &upstream::Passthrough,
+        is_retryable: true,
+        outcome: OnceLock::new(),
+        is_unframed: AtomicBool::new(false),
+    };
+    let options = Options { upstream, deadline: None, resume_after: None };
+    let asking =
+        context.forwarders.pool.send(&codec, &request, options, hop.address, true, &|_| ());
+    // The outcome is in the head, which the pool reports as a refusal.
+    let _ = tokio::time::timeout(PROBE_TIMEOUT, asking).await;
+    codec.outcome.get().copied()
+}
+
+/// The data centres from which the way to the upstream crosses between data centres at most once.
+fn near_data_centres(context: &Context, upstream: &Upstream) -> Vec<DataCentreDigest> {
+    let own = DataCentreDigest::of(context.balance().data_centre());
+    let fleet = context.fleet();
+    let entry = fleet.entries().get(upstream);
+    let its = entry.map(|entry| DataCentreDigest::of(&entry.data_centre));
+    its.into_iter().chain([own]).collect()
+}
--- /dev/null
+++ b/serving/src/forward/state.rs
@@ -0,0 +1,140 @@
+//! The nodes that can forward requests, and the choice among them.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use rand::{Rng, RngExt, seq::IteratorRandom};
+
+use crate::{collector::DataCentreDigest, time::Millis};
+
+use super::{Notice, Offer};
+
+/// Time after which what a node said of itself no longer counts. Several gossip intervals.
+const OFFER_TTL: Millis = Millis(2_000);
+/// Time for which a forwarder that failed gets no requests.
+const AVOIDANCE: Millis = Millis(500);
+/// Number of forwarders that one gossip message names.
+const MAX_NOTICES: usize = 8;
+/// Maximum number of known forwarders; more than a node uses.
+const MAX_FORWARDERS: usize = 512;
+/// Penalty on forwarders in a data centre that is neither the sender's nor the upstream's, in
+/// requests in flight: bytes cross between data centres twice.
+const DETOUR_PENALTY: f64 = 2.0;
+
+#[derive(Clone, Copy, Debug)]
+struct Forwarder {
+    data_centre: DataCentreDigest,
+    can_forward: bool,
+    /// When the node said so.
+    said_at: Millis,
+    avoided_until: Millis,
+    /// Requests of this node that the forwarder has and that have no response yet.
+    in_flight: u32,
+}
+
+/// The nodes that offer to forward requests, by the address at which they take them.
+#[derive(Clone, Debug, Default)]
+pub struct State {
+    forwarders: BTreeMap<SocketAddr, Forwarder>,
+}
+
+impl State {
+    /// Records what a node says of itself.
+    pub fn record_offer(&mut self, now: Millis, offer: Offer, data_centre: DataCentreDigest) {
+        self.update(now, offer.address, data_centre, offer.can_forward);
+    }
+
+    /// Merges what a node passes on about others. `own` is the address of this node, which is no
+    /// forwarder of its own requests.
+    pub fn merge(&mut self, now: Millis, own: SocketAddr, notices: &[Notice]) {
+        for notice in notices.iter().filter(|notice| notice.address != own) {
+            self.update(now - notice.age, notice.address, notice.data_centre, true);
+        }
+        self.forwarders.retain(|_, known| now - known.said_at < OFFER_TTL || known.in_flight > 0);
+    }
+
+    fn update(
+        &mut self,
+        said_at: Millis,
+        address: SocketAddr,
+        data_centre: DataCentreDigest,
+        can_forward: bool,
+    ) {
+        let is_full = self.forwarders.len() >= MAX_FORWARDERS;
+        match self.forwarders.get_mut(&address) {
+            Some(known) if known.said_at > said_at => {}
+            Some(known) => {
+                known.said_at = said_at;
+                known.can_forward = can_forward;
+                known.data_centre = data_centre;
+            }
+            None if is_full => {}
+            None => {
+                let avoided_until = Millis(0);
+                let forwarder =
+                    Forwarder { data_centre, can_forward, said_at, avoided_until, in_flight: 0 };
+                self.forwarders.insert(address, forwarder);
+            }
+        }
+    }
+
+    /// Some forwarders to pass on to other nodes, with the time since each said so.
+    pub fn notices(&self, now: Millis, rng: &mut impl Rng) -> Vec<Notice> {
+        let known = self.forwarders.iter().filter(|(_, known)| known.is_valid(now));
+        let notice = |(address, known): (&SocketAddr, &Forwarder)| Notice {
+            address: *address,
+            data_centre: known.data_centre,
+            age: now - known.said_at,
+        };
+        known.map(notice).sample(rng, MAX_NOTICES)
+    }
+
+    /// Number of nodes that can forward a request now.
+    pub fn count(&self, now: Millis) -> usize {
+        self.forwarders.values().filter(|known| known.is_usable(now)).count()
+    }
+
+    /// Chooses the forwarder with the fewest requests of this node, preferably in one of the data
+    /// centres `near`, and counts the request as in flight there until [`State::finish`].
+    pub fn choose(
+        &mut self,
+        now: Millis,
+        near: &[DataCentreDigest],
+        rng: &mut impl Rng,
+    ) -> Option<SocketAddr> {
+        let usable = self.forwarders.iter().filter(|(_, known)| known.is_usable(now));
+        let scored = usable.map(|(address, known)| {
+            let detour = if near.contains(&known.data_centre) { 0.0 } else { DETOUR_PENALTY };
+            let tie_breaker: f64 = rng.random();
+            (f64::from(known.in_flight) + detour + tie_breaker, *address)
+        });
+        let (_, address) = scored.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
+        if let Some(chosen) = self.forwarders.get_mut(&address) {
+            chosen.in_flight += 1;
+        }
+        Some(address)
+    }
+
+    /// Records the end of a request at a forwarder.
+    pub fn finish(&mut self, address: SocketAddr) {
+        if let Some(known) = self.forwarders.get_mut(&address) {
+            known.in_flight = known.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Records that a forwarder failed or couldn't forward a request.
+    pub fn avoid(&mut self, now: Millis, address: SocketAddr) {
+        if let Some(known) = self.forwarders.get_mut(&address) {
+            known.avoided_until = now + AVOIDANCE;
+        }
+    }
+}
+
+impl Forwarder {
+    fn is_valid(&self, now: Millis) -> bool {
+        self.can_forward && now - self.said_at < OFFER_TTL
+    }
+
+    fn is_usable(&self, now: Millis) -> bool {
+        self.is_valid(now) && self.avoided_until <= now
+    }
+}
--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod collector;
 pub mod exchange;
 pub mod fleet;
+pub mod forward;
 pub mod id;
 pub mod log_store;
 pub mod metrics;
--- a/serving/src/metrics.rs
+++ b/serving/src/metrics.rs
@@ -40,6 +40,8 @@
     pub send_failures: Family<Labels, Counter>,
     /// Ejections of upstreams because of failures that other nodes report, by service.
     pub ejections: Family<Labels, Counter>,
+    /// Requests that went through other nodes, by whether this node sent or took them, and outcome.
+    pub forwarded: Family<Labels, Counter>,
     /// Whether this node's own path to the upstreams works: 1 or 0.
     pub uplink_up: Gauge,
     /// Calls to the log service by name and outcome.
@@ -78,6 +80,8 @@
             "Ejections of upstreams by the reports of other nodes",
             ejections.clone(),
         );
+        let forwarded = Family::default();
+        registry.register("forwarded", "Requests through other nodes", forwarded.clone());
         let uplink_up = Gauge::default();
         uplink_up.set(1);
         registry.register(
@@ -121,6 +125,7 @@
             sends,
             send_failures,
             ejections,
+            forwarded,
             uplink_up,
             log_calls,
             batch_events,
--- a/serving/src/node.rs
+++ b/serving/src/node.rs
@@ -13,6 +13,7 @@
     catalog::Catalog,
     exchange, fleet,
     fleet::Change,
+    forward::Forwarders,
     id::{DataCentre, Upstream, Vm},
     metrics::Metrics,
     origins::Origins,
@@ -70,6 +71,7 @@
             quarantine: Mutex::new(Quarantine::new(QUARANTINE_RETENTION)),
             parts: Mutex::new(parts::State::new(identity.seed)),
             uplink: Mutex::default(),
+            forwarders: Forwarders::default(),
             pool: Arc::new(upstream::Pool::new(settings.pool)),
             codec,
             metrics,
@@ -125,6 +127,7 @@
         let expired = lock(&self.exchange.fleet).expire(self.exchange.clock.now());
         self.apply_changes(&expired);
         self.exchange.pool.close_expired();
+        self.exchange.forwarders.close_expired();
     }
 
     /// Whether the node is ready for new callers: it has a configuration and at least one upstream,
--- a/serving/src/peers/message.rs
+++ b/serving/src/peers/message.rs
@@ -8,6 +8,7 @@
     balance::{Digest, Loads, limit},
     batch::{order::Bucket, quota::Report},
     collector::DataCentreDigest,
+    forward::{Notice, Offer},
     id::{Incarnation, Service, Vm},
     origins::News,
     parts,
@@ -52,9 +53,16 @@
     /// Data centre of the sender. Encoded after the limits.
     #[serde(skip)]
     pub data_centre: DataCentreDigest,
-    /// Data centres of `peers`, in their order. Encoded last; empty in messages of older nodes.
+    /// Data centres of `peers`, in their order. Empty in messages of older nodes.
     #[serde(skip)]
     pub data_centres: Vec<DataCentreDigest>,
+    /// What the sender says of itself as a forwarder. Encoded after the data centres; `None` in
+    /// messages of older nodes.
+    #[serde(skip)]
+    pub offer: Option<Offer>,
+    /// Some other nodes that can forward requests. Encoded last.
+    #[serde(skip)]
+    pub forwarders: Vec<Notice>,
 }
 
 impl Message {
@@ -65,6 +73,7 @@
         bytes.extend(postcard::to_stdvec(&(&self.news, ready))?);
         bytes.extend(postcard::to_stdvec(&(&self.parts, &self.limits))?);
         bytes.extend(postcard::to_stdvec(&(&self.data_centre, &self.data_centres))?);
+        bytes.extend(postcard::to_stdvec(&(&self.offer, &self.forwarders))?);
         Ok(bytes)
     }
 
@@ -79,7 +88,11 @@
                 ((message.parts, message.limits), rest) = postcard::take_from_bytes(rest)?;
             }
             if !rest.is_empty() {
-                (message.data_centre, message.data_centres) = postcard::from_bytes(rest)?;
+                ((message.data_centre, message.data_centres), rest) =
+                    postcard::take_from_bytes(rest)?;
+            }
+            if !rest.is_empty() {
+                (message.offer, message.forwarders) = postcard::from_bytes(rest)?;
             }
             for ((_, report), ready) in message.owned.iter_mut().zip(ready) {
                 report.ready_by_service = ready;
--- a/serving/src/peers/task.rs
+++ b/serving/src/peers/task.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
 };
 
 use tokio::{net::UdpSocket, time::sleep};
@@ -12,6 +15,7 @@
     batch::{Group, quota::Report},
     collector::DataCentreDigest,
     exchange::Context,
+    forward::Offer,
     id::{Incarnation, Vm},
     time::Millis,
     uplink::Health,
@@ -35,7 +39,11 @@
     pub vm: Vm,
     pub incarnation: Incarnation,
     pub address: SocketAddr,
+    /// Address at which this node takes requests to forward.
+    pub forward_address: SocketAddr,
     pub data_centre: DataCentreDigest,
+    /// Set while the node stops: it takes no more requests to forward.
+    pub is_stopping: Arc<AtomicBool>,
     pub state: Mutex<State>,
     pub context: Arc<Context>,
     pub group: Arc<Group>,
@@ -55,13 +63,17 @@
         now: Millis,
     ) -> Message {
         let (loads, owned) = update;
-        let health = self.context.uplink().health();
+        let (health, can_forward) = {
+            let uplink = self.context.uplink();
+            (uplink.health(), uplink.can_forward(now))
+        };
         let (ejected, limits) = {
             let mut balance = self.context.balance();
             (balance.own_ejections(now), balance.own_limits(now))
         };
         // Failures that may be those of the node's own path say nothing of upstreams.
         let ejected = if health == Health::Up { ejected } else { Vec::new() };
+        let can_forward = can_forward && !self.is_stopping.load(Ordering::Relaxed);
         Message {
             vm: self.vm.clone(),
             incarnation: self.incarnation,
@@ -78,6 +90,8 @@
             limits,
             data_centre: self.data_centre,
             data_centres,
+            offer: Some(Offer { address: self.forward_address, can_forward }),
+            forwarders: self.context.forwarders.state().notices(now, &mut rand::rng()),
         }
     }
 
@@ -88,6 +102,13 @@
         if !self.state().handle_message(now, &message) {
             return;
         }
+        {
+            let mut forwarders = self.context.forwarders.state();
+            forwarders.merge(now, self.forward_address, &message.forwarders);
+            if let Some(offer) = message.offer {
+                forwarders.record_offer(now, offer, message.data_centre);
+            }
+        }
         self.context.balance().update_loads(now, &message.vm, message.loads);
         self.context.merge_ejections(now, &message.vm, &message.ejected);
         self.context.quarantine().merge(now, message.suspects);
--- a/serving/src/uplink/state.rs
+++ b/serving/src/uplink/state.rs
@@ -8,6 +8,10 @@
 /// Minimum time from one check to the next because of broken connections: an upstream that crashes
 /// breaks many at once.
 const BREAK_CHECK_INTERVAL: Millis = Millis(200);
+/// Time that a check takes while the path works. A node whose check takes longer doesn't offer to
+/// forward requests.
+const QUICK_CHECK: Millis = Millis(50);
+
 /// Health of the path.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Health {
@@ -87,4 +91,13 @@
             _ => None,
         }
     }
+
+    /// Whether the node can forward requests of other nodes.
+    pub fn can_forward(&self, now: Millis) -> bool {
+        match self.health {
+            Health::Up => true,
+            Health::Suspect => now - self.failing_since < QUICK_CHECK,
+            Health::Down => false,
+        }
+    }
 }
--- a/serving/src/uplink/task.rs
+++ b/serving/src/uplink/task.rs
@@ -5,7 +5,13 @@
 use rand::RngExt;
 use tokio::{task::JoinSet, time::sleep};
 
-use crate::{balance::Pick, exchange::Context, id::Upstream, time::Millis};
+use crate::{
+    balance::Pick,
+    exchange::Context,
+    forward::{self, Outcome},
+    id::Upstream,
+    time::Millis,
+};
 
 use super::{Change, Health, Sign};
 
@@ -48,16 +54,19 @@
     });
 }
 
-/// Finds out whether the upstream of `pick` is down, after a connection to it broke.
+/// Finds out whether the upstream of `pick` is down, after a connection to it broke. Another node is
+/// asked if this one can't reach it.
 pub(crate) async fn examine(context: &Arc<Context>, pick: &Pick) -> Verdict {
     if context.pool.is_reachable(pick.address).await {
         return Verdict::NotUpstream;
     }
     let is_only_upstream = other_upstreams(context, &pick.upstream, 1).is_empty();
     let has_path = is_only_upstream || settled_health(context).await == Health::Up;
-    match has_path {
-        true => Verdict::UpstreamDown,
-        false => Verdict::NotUpstream,
+    match forward::ask(context, &pick.upstream).await {
+        Some(Outcome::Unreachable) => Verdict::UpstreamDown,
+        Some(Outcome::Reachable) => Verdict::NotUpstream,
+        Some(Outcome::Refused | Outcome::Broken) | None if has_path => Verdict::UpstreamDown,
+        Some(Outcome::Refused | Outcome::Broken) | None => Verdict::NotUpstream,
     }
 }
 
@@ -79,7 +88,7 @@
         Some(Change::Lost) => {
             context.metrics.uplink_up.set(0);
             context.balance().clear_own_ejections();
-            log::warn!(tried = CHECKED_UPSTREAMS; "path to upstreams lost: none of several can be reached");
+            log::warn!(tried = CHECKED_UPSTREAMS, forwarders = context.forwarders.count(now); "path to upstreams lost: none of several can be reached; requests go through other nodes");
             tokio::spawn(probe(Arc::clone(context)));
         }
         Some(Change::Regained(after)) => {
--- a/serving/src/upstream/call.rs
+++ b/serving/src/upstream/call.rs
@@ -3,10 +3,7 @@
 use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::{Bytes, BytesMut};
-use http::{
-    HeaderMap,
-    header::{CONTENT_LENGTH, TRANSFER_ENCODING},
-};
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as _, Incoming};
 use tokio::{sync::OwnedSemaphorePermit, time::Instant};
@@ -74,7 +71,7 @@
 
 impl Failure {
     /// No connection could be established.
-    fn connect(message: String) -> Failure {
+    pub(crate) fn connect(message: String) -> Failure {
         Failure { kind: FailureKind::Connect, delivery: Delivery::NotSent, message }
     }
 
@@ -184,7 +181,7 @@
             connection: Some(connection),
             keep_alive: head.keep_alive.map(|span| span.duration()),
             closes_connection: head.closes_connection,
-            is_unframed: is_unframed(&parts.headers),
+            is_unframed: is_unframed(&parts),
             deadline,
         };
         if head.not_run {
@@ -276,8 +273,22 @@
 }
 
 /// Whether a response has neither a length nor chunks and ends with its connection.
-pub(crate) fn is_unframed(headers: &HeaderMap) -> bool {
-    !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+pub(crate) fn is_unframed(parts: &http::response::Parts) -> bool {
+    match parts.extensions.get::<Forwarded>() {
+        Some(forwarded) => forwarded.is_unframed,
+        None => {
+            !parts.headers.contains_key(CONTENT_LENGTH)
+                && !parts.headers.contains_key(TRANSFER_ENCODING)
+        }
+    }
+}
+
+/// Extension of the head of a response that came through another node.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Forwarded {
+    pub(crate) by: SocketAddr,
+    /// The upstream's response has neither a length nor chunks.
+    pub(crate) is_unframed: bool,
 }
 
 /// A body with its share of the memory for collected bodies.
--- a/serving/src/upstream/mod.rs
+++ b/serving/src/upstream/mod.rs
@@ -16,8 +16,8 @@
     time::Millis,
 };
 
-pub(crate) use call::is_unframed;
 pub use call::{Answer, Body, Delivery, Failure, FailureKind};
+pub(crate) use call::{Forwarded, is_unframed};
 pub use passthrough::Passthrough;
 pub use pool::{Pool, Settings};
 
--- a/serving/tests/malformed.rs
+++ b/serving/tests/malformed.rs
@@ -6,6 +6,7 @@
     prelude::*,
     test_runner::{Config, RngSeed},
 };
+use rand::{SeedableRng, rngs::SmallRng};
 use serving::{
     balance::{self, Class, Criteria, Digest, Load, limit},
     batch::{
@@ -15,6 +16,7 @@
     },
     collector::{Collector, DataCentreDigest, Datagram, Member, Sum, Version},
     fleet::{Entry, Software},
+    forward::{self, Notice, Offer},
     id::{Incarnation, Process, Service, Upstream},
     origins::{self, Announcement, News},
     parts::{self, Attempt, Part, Prompt},
@@ -89,6 +91,12 @@
         limits: vec![limit],
         data_centre: DataCentreDigest::default(),
         data_centres: vec![DataCentreDigest::default()],
+        offer: Some(Offer { address: "10.0.0.2:7003".parse().unwrap(), can_forward: true }),
+        forwarders: vec![Notice {
+            address: "10.0.0.3:7003".parse().unwrap(),
+            data_centre: DataCentreDigest::default(),
+            age: Millis(40),
+        }],
     }
 }
 
@@ -100,6 +108,7 @@
     quarantine: Quarantine,
     parts: parts::State,
     origins: origins::State,
+    forwarders: forward::State,
 }
 
 impl Node {
@@ -126,6 +135,7 @@
             quarantine: Quarantine::new(Millis(60_000)),
             parts: parts::State::new(2),
             origins: origins::State::default(),
+            forwarders: forward::State::default(),
         }
     }
 
@@ -133,6 +143,11 @@
     fn handle(&mut self, now: Millis, message: Message) {
         self.origins.merge(now, message.news.clone());
         if self.peers.handle_message(now, &message) {
+            let own = "10.0.0.1:7003".parse().unwrap();
+            self.forwarders.merge(now, own, &message.forwarders);
+            if let Some(offer) = message.offer {
+                self.forwarders.record_offer(now, offer, message.data_centre);
+            }
             self.balance.update_loads(now, &message.vm, message.loads);
             self.balance.update_ejections(now, &message.vm, &message.ejected);
             self.quarantine.merge(now, message.suspects);
@@ -147,6 +162,9 @@
     }
 
     fn decide(&mut self, now: Millis) {
+        let mut rng = SmallRng::seed_from_u64(3);
+        self.forwarders.choose(now, &[DataCentreDigest::default()], &mut rng);
+        self.forwarders.notices(now, &mut rng);
         self.peers.start_round(now, true);
         self.peers.expire(now);
         self.peers.collectors();
--- a/serving/tests/peers.rs
+++ b/serving/tests/peers.rs
@@ -44,6 +44,8 @@
         limits: Vec::new(),
         data_centre: DataCentreDigest::default(),
         data_centres: Vec::new(),
+        offer: None,
+        forwarders: Vec::new(),
     }
 }
 
