--- a/serving/tests/peers.rs
+++ b/serving/tests/peers.rs
@@ -12,6 +12,7 @@
     },
     collector::DataCentreDigest,
     fleet::Software,
+    forward::{Notice, Offer},
     id::Incarnation,
     origins::{Announcement, Digest, News},
     parts,
@@ -90,6 +91,29 @@
     assert_eq!(postcard::from_bytes::<Message>(&new_format).unwrap(), message);
 }
 
+/// Nodes of the last release without forwarding neither offer it nor read the offers of others.
+#[test]
+fn offers_to_forward_are_left_out_by_older_nodes() {
+    let address = "10.0.0.9:7663".parse().unwrap();
+    let offer = Some(Offer { address, can_forward: true });
+    let data_centre = DataCentreDigest::of(&"dc".into());
+    let forwarders = vec![Notice { address, data_centre, age: Millis(30) }];
+    let data_centres = vec![data_centre];
+    let message = Message { data_centre, data_centres, offer, forwarders, ..message(2, 1, 1) };
+    let bytes = message.encode().unwrap();
+    assert_eq!(Message::decode(&bytes).unwrap(), message);
+    let added = postcard::to_stdvec(&(&message.offer, &message.forwarders)).unwrap();
+    let older = &bytes[..bytes.len() - added.len()];
+    let decoded = Message::decode(older).unwrap();
+    assert_eq!((decoded.offer, decoded.forwarders), (None, Vec::new()));
+    assert_eq!((decoded.data_centre, decoded.data_centres), (data_centre, vec![data_centre]));
+    // An older node reads the data centres last and ignores what follows.
+    let last = postcard::to_stdvec(&(&message.data_centre, &message.data_centres)).unwrap();
+    let tail = &bytes[older.len() - last.len()..];
+    let read: (DataCentreDigest, Vec<DataCentreDigest>) = postcard::from_bytes(tail).unwrap();
+    assert_eq!(read, (data_centre, vec![data_centre]));
+}
+
 #[test]
 fn outdated_messages_are_dropped() {
     let mut state = state();
