fix(forward): don't count it against an upstream that no other node took a request

A send for which no forwarder was found or took the request failed as a failed connection to the upstream, which ejected the upstream at the sender. It is a failure of its own now (no_path) and says nothing of the upstream; a node whose path is only suspect then sends by itself. A forwarder whose own path is suspect for longer than a check takes refuses at once; the sender used to wait for its connect timeout.

only_failures_of_the_upstream_count_against_it fails on the code before, which has no such kind.

--- a/serving/src/batch/run.rs
+++ b/serving/src/batch/run.rs
@@ -97,15 +97,17 @@
                     FailureKind::TimedOut => Some(Sign::Silence),
                     FailureKind::Broken => Some(Sign::ConnectionBroke),
                     // The send itself reports these.
-                    FailureKind::Connect | FailureKind::Overloaded | FailureKind::Misdirected => {
-                        None
-                    }
+                    FailureKind::Connect
+                    | FailureKind::NoPath
+                    | FailureKind::Overloaded
+                    | FailureKind::Misdirected => None,
                 };
                 if let Some(sign) = sign {
                     check_path(&self.context, &self.permit.pick, sign);
                 }
                 self.permit.outcome = match failure.kind {
                     FailureKind::Overloaded => Outcome::Full,
+                    FailureKind::NoPath => Outcome::Neutral,
                     _ => Outcome::Failed,
                 };
                 (RunEnd::Interrupted, failure.message)
--- a/serving/src/exchange/state.rs
+++ b/serving/src/exchange/state.rs
@@ -275,6 +275,7 @@
 pub fn health_outcome(failure: &Failure) -> Outcome {
     match failure.kind {
         FailureKind::Overloaded => Outcome::Full,
+        FailureKind::NoPath => Outcome::Neutral,
         FailureKind::Connect
         | FailureKind::Misdirected
         | FailureKind::TimedOut
--- a/serving/src/exchange/task.rs
+++ b/serving/src/exchange/task.rs
@@ -108,6 +108,11 @@
         self.uplink.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether this node's own path to the upstreams may work.
+    pub(crate) fn has_path(&self) -> bool {
+        self.uplink().health() != Health::Down
+    }
+
     pub(crate) fn fleet(&self) -> MutexGuard<'_, fleet::State> {
         self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -184,7 +189,13 @@
         };
         let is_up = self.uplink().health() == Health::Up;
         if !is_up && self.forwarders.count(self.clock.now()) > 0 {
-            return forward::send(self, request, options, pick, is_retryable, &on_head).await;
+            let forwarded =
+                forward::send(self, request, options, pick, is_retryable, &on_head).await;
+            let found_none =
+                forwarded.as_ref().is_err_and(|failure| failure.kind == FailureKind::NoPath);
+            if !found_none || !self.has_path() {
+                return forwarded;
+            }
         }
         let codec = self.codec.as_ref();
         let sending = self.pool.send(codec, request, options, pick.address, is_retryable, &on_head);
--- a/serving/src/forward/client.rs
+++ b/serving/src/forward/client.rs
@@ -197,7 +197,7 @@
             }
         }
     }
-    Err(Failure::connect("no other node could forward the request".to_string()))
+    Err(Failure::no_path())
 }
 
 /// Asks another node whether it reaches `upstream`. `None` if there is no such node or no reply.
--- a/serving/src/forward/server.rs
+++ b/serving/src/forward/server.rs
@@ -25,7 +25,7 @@
     id::{Upstream, Version},
     parts::Prompt,
     time::Millis,
-    uplink::{self, Health, Sign},
+    uplink::{self, Sign},
     upstream::{self, Body, Codec, Delivery, FailureKind, Head, Options},
 };
 
@@ -141,7 +141,7 @@
         let is_reachable = context.pool.is_reachable(pick.address).await;
         return Err(if is_reachable { Outcome::Reachable } else { Outcome::Unreachable });
     }
-    if context.uplink().health() == Health::Down {
+    if !context.uplink().can_forward(context.clock.now()) {
         return Err(Outcome::Refused);
     }
     let capacity = Arc::clone(&context.forwarders.capacity);
--- a/serving/src/upstream/call.rs
+++ b/serving/src/upstream/call.rs
@@ -38,6 +38,8 @@
 pub enum FailureKind {
     /// No connection could be established.
     Connect,
+    /// This node has no path to the upstream at the moment, which says nothing of the upstream.
+    NoPath,
     /// The upstream rejected the request for lack of capacity.
     Overloaded,
     /// The address now belongs to another upstream.
@@ -52,6 +54,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             FailureKind::Connect => "connect",
+            FailureKind::NoPath => "no_path",
             FailureKind::Overloaded => "overloaded",
             FailureKind::Misdirected => "misdirected",
             FailureKind::TimedOut => "timed_out",
@@ -75,6 +78,12 @@
         Failure { kind: FailureKind::Connect, delivery: Delivery::NotSent, message }
     }
 
+    /// Neither this node nor another one could send the request.
+    pub(crate) fn no_path() -> Failure {
+        let message = "no node with a path to the upstream took the request".to_string();
+        Failure { kind: FailureKind::NoPath, delivery: Delivery::NotSent, message }
+    }
+
     /// The upstream responded that it did not run the request.
     fn refused(kind: FailureKind, message: &str) -> Failure {
         Failure { kind, delivery: Delivery::Refused, message: message.to_string() }
--- a/serving/tests/exchange_state.rs
+++ b/serving/tests/exchange_state.rs
@@ -5,8 +5,9 @@
     test_runner::{Config, RngSeed},
 };
 use serving::{
+    balance::Outcome,
     catalog::Kind,
-    exchange::state::{Action, End, Silence, State, may_be_crash},
+    exchange::state::{Action, End, Silence, State, health_outcome, may_be_crash},
     id::Upstream,
     time::Millis,
     upstream::{Delivery, Failure, FailureKind},
@@ -37,6 +38,20 @@
     state.record_failure(Millis(now), &Upstream(format!("replica-{index}")), &failure(delivery))
 }
 
+/// Guards against an upstream being ejected because no other node took a request for it.
+#[test]
+fn only_failures_of_the_upstream_count_against_it() {
+    let outcome = |kind| {
+        let message = "failed".to_string();
+        health_outcome(&Failure { kind, delivery: Delivery::NotSent, message })
+    };
+    assert_eq!(outcome(FailureKind::NoPath), Outcome::Neutral);
+    assert_eq!(outcome(FailureKind::Overloaded), Outcome::Full);
+    for kind in [FailureKind::Connect, FailureKind::TimedOut, FailureKind::Broken] {
+        assert_eq!(outcome(kind), Outcome::Failed);
+    }
+}
+
 #[test]
 fn at_most_once_request_ends_once_it_may_have_run() {
     let mut state = state(Kind::AtMostOnce, 3);
