fix(forward): ask a forwarder about an upstream without sending a request to it

A node that can't reach an upstream asks another one whether it does, before it takes a broken connection for a crash. The header that marks the question was removed from it on the way, so that the other node sent an empty GET without an id to the upstream, and the question stayed unanswered. Found by the soak with cuts: an engine of the tests panicked on a request without an id.

question_whether_an_engine_is_reached_is_no_request_to_it failed before (3 requests without an id reached the engine) and passes.

--- a/serving/src/forward/client.rs
+++ b/serving/src/forward/client.rs
@@ -91,6 +91,8 @@
 struct HopCodec<'a> {
     inner: &'a dyn Codec,
     is_retryable: bool,
+    /// Whether the request only asks if the forwarder reaches the upstream.
+    is_probe: bool,
     /// Why the forwarder has no response of the upstream.
     outcome: OnceLock<Outcome>,
     is_unframed: AtomicBool,
@@ -103,6 +105,9 @@
         message::insert(&mut headers, UPSTREAM, &options.upstream.0);
         message::insert(&mut headers, REQUEST, &request.id);
         message::insert(&mut headers, RETRYABLE, &self.is_retryable.to_string());
+        if self.is_probe {
+            message::insert(&mut headers, PROBE, "true");
+        }
         if let Some(timeout) = options.deadline {
             message::insert(&mut headers, TIMEOUT, &timeout.as_millis().to_string());
         }
@@ -151,6 +156,7 @@
         let codec = HopCodec {
             inner: context.codec.as_ref(),
             is_retryable,
+            is_probe: false,
             outcome: OnceLock::new(),
             is_unframed: AtomicBool::new(false),
         };
@@ -204,19 +210,18 @@
 pub(crate) async fn ask(context: &Context, upstream: &Upstream) -> Option<Outcome> {
     let near = near_data_centres(context, upstream);
     let hop = context.forwarders.choose(context.clock.now(), &near)?;
-    let mut headers = HeaderMap::new();
-    message::insert(&mut headers, PROBE, "true");
     let request = Request {
         id: String::new(),
         method: Method::GET,
         target: Uri::from_static("/"),
         host: hop.address.to_string(),
-        headers,
+        headers: HeaderMap::new(),
         body: Bytes::new(),
     };
     let codec = HopCodec {
         inner: &upstream::Passthrough,
         is_retryable: true,
+        is_probe: true,
         outcome: OnceLock::new(),
         is_unframed: AtomicBool::new(false),
     };
