fix(forward): go on with other forwarders when one fails, and with a failed one if it is the only one

Callers of a cut node lost streams, or were refused, when a forwarder died or reported upstreams as unreachable. Three causes, of one kind (the failure of a forwarder was not recorded where the next send is decided): - a stream that broke together with its forwarder was sent on through the same one, on an idle connection that had broken as well, which used up its last attempt; - a forwarder that reported an upstream as unreachable was left out altogether for 500 ms, and with it the only path, if it was the last one: requests were refused at once although it could forward them to other upstreams; - idle connections to forwarders were kept by upstream, so that they were not found again when a forwarder failed.

--- a/serving/src/exchange/driver.rs
+++ b/serving/src/exchange/driver.rs
@@ -4,7 +4,7 @@
 //! asked to take over. The silent upstream keeps the request until the successor answers, because
 //! the successor may refuse the request or fail while the silent upstream goes on.
 
-use std::{future::Future, pin::Pin, sync::Arc};
+use std::{future::Future, net::SocketAddr, pin::Pin, sync::Arc};
 
 use bytes::Bytes;
 
@@ -76,6 +76,8 @@
     source: Source,
     /// Whether the upstream has been silent for too long and hasn't sent anything since.
     is_silent: bool,
+    /// The node through which the stream comes, if not directly.
+    forwarder: Option<SocketAddr>,
 }
 
 /// A run that is to take over from the silent one.
@@ -232,6 +234,7 @@
             }
             Progress::Received(Received::Stream { parts, source }) => {
                 current.source = Source::Stream(source);
+                current.forwarder = upstream::forwarder(&parts);
                 self.trace.record_forwarder(&parts);
                 self.resume_waiting();
                 (!self.state.has_begun()).then_some(Output::Head(parts))
@@ -294,6 +297,9 @@
         self.context.count_failure(&permit.pick, &failure);
         report_crash(&self.context, &self.routed, self.fingerprint, permit, &failure);
         let now = self.context.clock.now();
+        if let Some(forwarder) = current.forwarder {
+            self.context.forwarders.record_failure(now, forwarder);
+        }
         let action = self.state.record_failure(now, &current.permit.pick.upstream, &failure);
         let has_successor = self.successor.is_some();
         self.end_current(state::health_outcome(&failure));
@@ -313,6 +319,9 @@
                 self.trace.record_takeover(&successor.permit);
                 self.trace.record_forwarder(&parts);
                 self.set_current(successor.permit, Source::Stream(source));
+                if let Some(current) = &mut self.current {
+                    current.forwarder = upstream::forwarder(&parts);
+                }
                 return (!self.state.has_begun()).then_some(Output::Head(parts));
             }
             Ok(Received::Complete { parts, .. }) if self.state.has_begun() => {
@@ -483,7 +492,7 @@
 
     /// Replaces the current run.
     fn set_current(&mut self, permit: Permit, source: Source) {
-        self.current = Some(Run { permit, source, is_silent: false });
+        self.current = Some(Run { permit, source, is_silent: false, forwarder: None });
         self.held = None;
         self.search_at = self.state.silence_deadline(self.context.clock.now());
     }
--- a/serving/src/exchange/trace.rs
+++ b/serving/src/exchange/trace.rs
@@ -4,7 +4,7 @@
 
 use prometheus_client::metrics::histogram::Histogram;
 
-use crate::{balance::Refusal, metrics::RouteLabel, time::Millis, upstream::Forwarded};
+use crate::{balance::Refusal, metrics::RouteLabel, time::Millis, upstream};
 
 use super::{Context, RoutedRequest, task::Permit};
 
@@ -84,8 +84,8 @@
 
     /// Records through which node a response came, if not directly.
     pub(super) fn record_forwarder(&mut self, parts: &http::response::Parts) {
-        if let Some(forwarded) = parts.extensions.get::<Forwarded>() {
-            self.append_to_sends(format_args!("through {}", forwarded.by));
+        if let Some(forwarder) = upstream::forwarder(parts) {
+            self.append_to_sends(format_args!("through {forwarder}"));
         }
     }
 
--- a/serving/src/forward/client.rs
+++ b/serving/src/forward/client.rs
@@ -1,6 +1,7 @@
 //! Sends requests through forwarders.
 
 use std::{
+    collections::BTreeSet,
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, OnceLock, PoisonError,
@@ -69,10 +70,21 @@
         self.pool.close_expired();
     }
 
-    fn choose(&self, now: Millis, near: &[DataCentreDigest]) -> Option<Hop<'_>> {
-        let address = self.state().choose(now, near, &mut rand::rng())?;
+    fn choose(
+        &self,
+        now: Millis,
+        near: &[DataCentreDigest],
+        excluded: &BTreeSet<SocketAddr>,
+    ) -> Option<Hop<'_>> {
+        let address = self.state().choose(now, near, excluded, &mut rand::rng())?;
         Some(Hop { forwarders: self, address })
     }
+
+    /// Records that a forwarder failed. Its idle connections may have failed with it.
+    pub(crate) fn record_failure(&self, now: Millis, address: SocketAddr) {
+        self.state().avoid(now, address);
+        self.pool.close_idle(&forwarder_name(address));
+    }
 }
 
 /// A request at a forwarder, counted as in flight there until it is dropped.
@@ -81,6 +93,17 @@
     address: SocketAddr,
 }
 
+impl Hop<'_> {
+    /// The name under which the pool keeps the connections to the forwarder.
+    fn name(&self) -> Upstream {
+        forwarder_name(self.address)
+    }
+}
+
+fn forwarder_name(address: SocketAddr) -> Upstream {
+    Upstream(address.to_string())
+}
+
 impl Drop for Hop<'_> {
     fn drop(&mut self) {
         self.forwarders.state().finish(self.address);
@@ -90,6 +113,7 @@
 /// Adds the headers of this protocol to requests, and reads those of responses.
 struct HopCodec<'a> {
     inner: &'a dyn Codec,
+    upstream: &'a Upstream,
     is_retryable: bool,
     /// Whether the request only asks if the forwarder reaches the upstream.
     is_probe: bool,
@@ -100,9 +124,10 @@
 
 impl Codec for HopCodec<'_> {
     fn encode(&self, request: &Request, options: Options<'_>) -> HeaderMap {
+        let options = Options { upstream: self.upstream, ..options };
         let mut headers = self.inner.encode(request, options);
         message::strip(&mut headers);
-        message::insert(&mut headers, UPSTREAM, &options.upstream.0);
+        message::insert(&mut headers, UPSTREAM, &self.upstream.0);
         message::insert(&mut headers, REQUEST, &request.id);
         message::insert(&mut headers, RETRYABLE, &self.is_retryable.to_string());
         if self.is_probe {
@@ -149,12 +174,16 @@
     let started = Instant::now();
     let near = near_data_centres(context, &pick.upstream);
     let forwarders = &context.forwarders;
-    for _ in 0..MAX_TRIES {
-        let Some(hop) = forwarders.choose(context.clock.now(), &near) else { break };
+    let mut tried = BTreeSet::new();
+    while tried.len() < MAX_TRIES {
+        let Some(hop) = forwarders.choose(context.clock.now(), &near, &tried) else { break };
+        tried.insert(hop.address);
         let left = options.deadline.map(|left| left.saturating_sub(started.elapsed()));
-        let options = Options { deadline: left, ..options };
+        let forwarder = hop.name();
+        let options = Options { upstream: &forwarder, deadline: left, ..options };
         let codec = HopCodec {
             inner: context.codec.as_ref(),
+            upstream: &pick.upstream,
             is_retryable,
             is_probe: false,
             outcome: OnceLock::new(),
@@ -182,7 +211,7 @@
         match codec.outcome.get() {
             Some(Outcome::Unreachable) => {
                 // The forwarder may have lost its own path.
-                forwarders.state().avoid(context.clock.now(), hop.address);
+                forwarders.record_failure(context.clock.now(), hop.address);
                 context.count_forwarded("sent", "unreachable");
                 return Err(Failure::connect(through("the upstream can't be reached")));
             }
@@ -193,12 +222,12 @@
             // The forwarder passes what the upstream responds on as it is.
             None if failure.delivery == Delivery::Refused => return Err(failure),
             None if failure.delivery == Delivery::Sent => {
-                forwarders.state().avoid(context.clock.now(), hop.address);
+                forwarders.record_failure(context.clock.now(), hop.address);
                 context.count_forwarded("sent", "broken");
                 return Err(Failure { message: through(&failure.message), ..failure });
             }
             Some(Outcome::Refused | Outcome::Reachable) | None => {
-                forwarders.state().avoid(context.clock.now(), hop.address);
+                forwarders.record_failure(context.clock.now(), hop.address);
                 context.count_forwarded("sent", "refused");
             }
         }
@@ -209,7 +238,7 @@
 /// Asks another node whether it reaches `upstream`. `None` if there is no such node or no reply.
 pub(crate) async fn ask(context: &Context, upstream: &Upstream) -> Option<Outcome> {
     let near = near_data_centres(context, upstream);
-    let hop = context.forwarders.choose(context.clock.now(), &near)?;
+    let hop = context.forwarders.choose(context.clock.now(), &near, &BTreeSet::new())?;
     let request = Request {
         id: String::new(),
         method: Method::GET,
@@ -220,12 +249,14 @@
     };
     let codec = HopCodec {
         inner: &upstream::Passthrough,
+        upstream,
         is_retryable: true,
         is_probe: true,
         outcome: OnceLock::new(),
         is_unframed: AtomicBool::new(false),
     };
-    let options = Options { upstream, deadline: None, resume_after: None };
+    let forwarder = hop.name();
+    let options = Options { upstream: &forwarder, deadline: None, resume_after: None };
     let asking =
         context.forwarders.pool.send(&codec, &request, options, hop.address, true, &|_| ());
     // The outcome is in the head, which the pool reports as a refusal.
--- a/serving/src/forward/state.rs
+++ b/serving/src/forward/state.rs
@@ -1,6 +1,9 @@
 //! The nodes that can forward requests, and the choice among them.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
 use rand::{Rng, RngExt, seq::IteratorRandom};
 
@@ -10,8 +13,10 @@
 
 /// Time after which what a node said of itself no longer counts. Several gossip intervals.
 const OFFER_TTL: Millis = Millis(2_000);
-/// Time for which a forwarder that failed gets no requests.
+/// Time for which a forwarder that failed gets requests only if there is no other one.
 const AVOIDANCE: Millis = Millis(500);
+/// Penalty on these forwarders, in requests in flight.
+const FAILURE_PENALTY: f64 = 1_000.0;
 /// Number of forwarders that one gossip message names.
 const MAX_NOTICES: usize = 8;
 /// Maximum number of known forwarders; more than a node uses.
@@ -90,22 +95,28 @@
 
     /// Number of nodes that can forward a request now.
     pub fn count(&self, now: Millis) -> usize {
-        self.forwarders.values().filter(|known| known.is_usable(now)).count()
+        self.forwarders.values().filter(|known| known.is_valid(now)).count()
     }
 
     /// Chooses the forwarder with the fewest requests of this node, preferably in one of the data
-    /// centres `near`, and counts the request as in flight there until [`State::finish`].
+    /// centres `near` and none that `excluded` names, and counts the request as in flight there until [`State::finish`].
     pub fn choose(
         &mut self,
         now: Millis,
         near: &[DataCentreDigest],
+        excluded: &BTreeSet<SocketAddr>,
         rng: &mut impl Rng,
     ) -> Option<SocketAddr> {
-        let usable = self.forwarders.iter().filter(|(_, known)| known.is_usable(now));
-        let scored = usable.map(|(address, known)| {
+        let is_candidate = |address: &SocketAddr, known: &Forwarder| {
+            known.is_valid(now) && !excluded.contains(address)
+        };
+        let candidates =
+            self.forwarders.iter().filter(|(address, known)| is_candidate(address, known));
+        let scored = candidates.map(|(address, known)| {
             let detour = if near.contains(&known.data_centre) { 0.0 } else { DETOUR_PENALTY };
+            let failure = if known.avoided_until > now { FAILURE_PENALTY } else { 0.0 };
             let tie_breaker: f64 = rng.random();
-            (f64::from(known.in_flight) + detour + tie_breaker, *address)
+            (f64::from(known.in_flight) + detour + failure + tie_breaker, *address)
         });
         let (_, address) = scored.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
         if let Some(chosen) = self.forwarders.get_mut(&address) {
@@ -133,8 +144,4 @@
     fn is_valid(&self, now: Millis) -> bool {
         self.can_forward && now - self.said_at < OFFER_TTL
     }
-
-    fn is_usable(&self, now: Millis) -> bool {
-        self.is_valid(now) && self.avoided_until <= now
-    }
 }
--- a/serving/src/upstream/call.rs
+++ b/serving/src/upstream/call.rs
@@ -300,6 +300,11 @@
     pub(crate) is_unframed: bool,
 }
 
+/// The node through which a response came, if not directly.
+pub(crate) fn forwarder(parts: &http::response::Parts) -> Option<SocketAddr> {
+    parts.extensions.get::<Forwarded>().map(|forwarded| forwarded.by)
+}
+
 /// A body with its share of the memory for collected bodies.
 #[derive(Default)]
 struct CollectedBody {
--- a/serving/src/upstream/mod.rs
+++ b/serving/src/upstream/mod.rs
@@ -17,7 +17,7 @@
 };
 
 pub use call::{Answer, Body, Delivery, Failure, FailureKind};
-pub(crate) use call::{Forwarded, is_unframed};
+pub(crate) use call::{Forwarded, forwarder, is_unframed};
 pub use passthrough::Passthrough;
 pub use pool::{Pool, Settings};
 
