fix(forward): move requests on when the node that forwards them hangs

Streams through a node that was suspended, or whose connections hung, were sent on through the same node and ended at their deadline: silence was recorded against the upstream, not against the forwarder, and a forwarder with many unanswered requests was still chosen.

A stream that falls silent counts as a failure of its forwarder, and so does a forwarder that has not responded to anything for 500 ms while a request waits there. Failed forwarders are chosen only if there is no other one.

--- a/serving/src/exchange/driver.rs
+++ b/serving/src/exchange/driver.rs
@@ -411,7 +411,10 @@
         let was_silent = std::mem::replace(&mut current.is_silent, true);
         if !was_silent {
             self.trace.record_silence(&current.permit);
-            check_path(&self.context, &current.permit.pick, Sign::Silence);
+            match current.forwarder {
+                Some(forwarder) => self.context.forwarders.record_failure(now, forwarder),
+                None => check_path(&self.context, &current.permit.pick, Sign::Silence),
+            }
             self.context.balance().record_failure(now, &current.permit.pick.upstream);
         }
         match self.choose() {
--- a/serving/src/forward/client.rs
+++ b/serving/src/forward/client.rs
@@ -20,12 +20,12 @@
     exchange::Context,
     id::Upstream,
     parts::Prompt,
-    time::Millis,
+    time::{Clock, Millis},
     upstream::{self, Answer, Codec, Delivery, Failure, Forwarded, Head, Options, Pool, Request},
 };
 
 use super::{
-    Outcome, State,
+    Choice, Outcome, State,
     message::{self, OUTCOME, PROBE, REQUEST, RETRYABLE, TIMEOUT, UNFRAMED, UPSTREAM},
 };
 
@@ -70,14 +70,15 @@
         self.pool.close_expired();
     }
 
-    fn choose(
-        &self,
-        now: Millis,
+    fn choose<'a>(
+        &'a self,
+        clock: &'a Clock,
         near: &[DataCentreDigest],
         excluded: &BTreeSet<SocketAddr>,
-    ) -> Option<Hop<'_>> {
-        let address = self.state().choose(now, near, excluded, &mut rand::rng())?;
-        Some(Hop { forwarders: self, address })
+    ) -> Option<Hop<'a>> {
+        let now = clock.now();
+        let choice = self.state().choose(now, near, excluded, &mut rand::rng())?;
+        Some(Hop { forwarders: self, clock, choice, has_response: false })
     }
 
     /// Records that a forwarder failed. Its idle connections may have failed with it.
@@ -87,16 +88,18 @@
     }
 }
 
-/// A request at a forwarder, counted as in flight there until it is dropped.
+/// A request at a forwarder, counted as waiting there until it is dropped.
 struct Hop<'a> {
     forwarders: &'a Forwarders,
-    address: SocketAddr,
+    clock: &'a Clock,
+    choice: Choice,
+    has_response: bool,
 }
 
 impl Hop<'_> {
     /// The name under which the pool keeps the connections to the forwarder.
     fn name(&self) -> Upstream {
-        forwarder_name(self.address)
+        forwarder_name(self.choice.address)
     }
 }
 
@@ -106,7 +109,7 @@
 
 impl Drop for Hop<'_> {
     fn drop(&mut self) {
-        self.forwarders.state().finish(self.address);
+        self.forwarders.state().finish(self.clock.now(), self.choice, self.has_response);
     }
 }
 
@@ -176,8 +179,9 @@
     let forwarders = &context.forwarders;
     let mut tried = BTreeSet::new();
     while tried.len() < MAX_TRIES {
-        let Some(hop) = forwarders.choose(context.clock.now(), &near, &tried) else { break };
-        tried.insert(hop.address);
+        let Some(mut hop) = forwarders.choose(&context.clock, &near, &tried) else { break };
+        let address = hop.choice.address;
+        tried.insert(address);
         let left = options.deadline.map(|left| left.saturating_sub(started.elapsed()));
         let forwarder = hop.name();
         let options = Options { upstream: &forwarder, deadline: left, ..options };
@@ -195,23 +199,25 @@
             }
         };
         let sending =
-            forwarders.pool.send(&codec, request, options, hop.address, is_retryable, &own_head);
-        let failure = match sending.await {
+            forwarders.pool.send(&codec, request, options, address, is_retryable, &own_head);
+        let result = sending.await;
+        hop.has_response = result.is_ok() || codec.outcome.get().is_some();
+        let failure = match result {
             Ok(mut answer) => {
                 context.count_forwarded("sent", "answered");
                 message::strip(&mut answer.parts.headers);
                 let is_unframed = codec.is_unframed.load(Ordering::Relaxed);
                 answer.body.is_unframed = is_unframed;
-                answer.parts.extensions.insert(Forwarded { by: hop.address, is_unframed });
+                answer.parts.extensions.insert(Forwarded { by: address, is_unframed });
                 return Ok(answer);
             }
             Err(failure) => failure,
         };
-        let through = |message: &str| format!("through {}: {message}", hop.address);
+        let through = |message: &str| format!("through {}: {message}", address);
         match codec.outcome.get() {
             Some(Outcome::Unreachable) => {
                 // The forwarder may have lost its own path.
-                forwarders.record_failure(context.clock.now(), hop.address);
+                forwarders.record_failure(context.clock.now(), address);
                 context.count_forwarded("sent", "unreachable");
                 return Err(Failure::connect(through("the upstream can't be reached")));
             }
@@ -222,12 +228,12 @@
             // The forwarder passes what the upstream responds on as it is.
             None if failure.delivery == Delivery::Refused => return Err(failure),
             None if failure.delivery == Delivery::Sent => {
-                forwarders.record_failure(context.clock.now(), hop.address);
+                forwarders.record_failure(context.clock.now(), address);
                 context.count_forwarded("sent", "broken");
                 return Err(Failure { message: through(&failure.message), ..failure });
             }
             Some(Outcome::Refused | Outcome::Reachable) | None => {
-                forwarders.record_failure(context.clock.now(), hop.address);
+                forwarders.record_failure(context.clock.now(), address);
                 context.count_forwarded("sent", "refused");
             }
         }
@@ -238,12 +244,13 @@
 /// Asks another node whether it reaches `upstream`. `None` if there is no such node or no reply.
 pub(crate) async fn ask(context: &Context, upstream: &Upstream) -> Option<Outcome> {
     let near = near_data_centres(context, upstream);
-    let hop = context.forwarders.choose(context.clock.now(), &near, &BTreeSet::new())?;
+    let mut hop = context.forwarders.choose(&context.clock, &near, &BTreeSet::new())?;
+    let address = hop.choice.address;
     let request = Request {
         id: String::new(),
         method: Method::GET,
         target: Uri::from_static("/"),
-        host: hop.address.to_string(),
+        host: address.to_string(),
         headers: HeaderMap::new(),
         body: Bytes::new(),
     };
@@ -257,10 +264,10 @@
     };
     let forwarder = hop.name();
     let options = Options { upstream: &forwarder, deadline: None, resume_after: None };
-    let asking =
-        context.forwarders.pool.send(&codec, &request, options, hop.address, true, &|_| ());
+    let asking = context.forwarders.pool.send(&codec, &request, options, address, true, &|_| ());
     // The outcome is in the head, which the pool reports as a refusal.
     let _ = tokio::time::timeout(PROBE_TIMEOUT, asking).await;
+    hop.has_response = codec.outcome.get().is_some();
     codec.outcome.get().copied()
 }
 
--- a/serving/src/forward/mod.rs
+++ b/serving/src/forward/mod.rs
@@ -17,4 +17,4 @@
 pub(crate) use client::{ask, send};
 pub use message::{Notice, Offer, Outcome};
 pub use server::{Chunks, handle};
-pub use state::State;
+pub use state::{Choice, State};
--- a/serving/src/forward/state.rs
+++ b/serving/src/forward/state.rs
@@ -15,6 +15,8 @@
 const OFFER_TTL: Millis = Millis(2_000);
 /// Time for which a forwarder that failed gets requests only if there is no other one.
 const AVOIDANCE: Millis = Millis(500);
+/// Time without a response to any request after which a forwarder counts as failed.
+const MAX_SILENCE: Millis = Millis(500);
 /// Penalty on these forwarders, in requests in flight.
 const FAILURE_PENALTY: f64 = 1_000.0;
 /// Number of forwarders that one gossip message names.
@@ -25,21 +27,33 @@
 /// requests in flight: bytes cross between data centres twice.
 const DETOUR_PENALTY: f64 = 2.0;
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Forwarder {
     data_centre: DataCentreDigest,
     can_forward: bool,
     /// When the node said so.
     said_at: Millis,
     avoided_until: Millis,
-    /// Requests of this node that the forwarder has and that have no response yet.
-    in_flight: u32,
+    /// Requests of this node that the forwarder has and that have no response yet, with the times at
+    /// which they were sent.
+    waiting: BTreeMap<u64, Millis>,
+    /// When the forwarder last responded.
+    responded_at: Millis,
 }
 
 /// The nodes that offer to forward requests, by the address at which they take them.
 #[derive(Clone, Debug, Default)]
 pub struct State {
     forwarders: BTreeMap<SocketAddr, Forwarder>,
+    /// Number of the next request.
+    next_request: u64,
+}
+
+/// A request at the forwarder that was chosen for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Choice {
+    pub address: SocketAddr,
+    request: u64,
 }
 
 impl State {
@@ -54,7 +68,8 @@
         for notice in notices.iter().filter(|notice| notice.address != own) {
             self.update(now - notice.age, notice.address, notice.data_centre, true);
         }
-        self.forwarders.retain(|_, known| now - known.said_at < OFFER_TTL || known.in_flight > 0);
+        self.forwarders
+            .retain(|_, known| now - known.said_at < OFFER_TTL || !known.waiting.is_empty());
     }
 
     fn update(
@@ -74,9 +89,14 @@
             }
             None if is_full => {}
             None => {
-                let avoided_until = Millis(0);
-                let forwarder =
-                    Forwarder { data_centre, can_forward, said_at, avoided_until, in_flight: 0 };
+                let forwarder = Forwarder {
+                    data_centre,
+                    can_forward,
+                    said_at,
+                    avoided_until: Millis(0),
+                    waiting: BTreeMap::new(),
+                    responded_at: Millis(0),
+                };
                 self.forwarders.insert(address, forwarder);
             }
         }
@@ -99,14 +119,14 @@
     }
 
     /// Chooses the forwarder with the fewest requests of this node, preferably in one of the data
-    /// centres `near` and none that `excluded` names, and counts the request as in flight there until [`State::finish`].
+    /// centres `near` and none that `excluded` names, and counts the request as waiting there until [`State::finish`].
     pub fn choose(
         &mut self,
         now: Millis,
         near: &[DataCentreDigest],
         excluded: &BTreeSet<SocketAddr>,
         rng: &mut impl Rng,
-    ) -> Option<SocketAddr> {
+    ) -> Option<Choice> {
         let is_candidate = |address: &SocketAddr, known: &Forwarder| {
             known.is_valid(now) && !excluded.contains(address)
         };
@@ -114,21 +134,25 @@
             self.forwarders.iter().filter(|(address, known)| is_candidate(address, known));
         let scored = candidates.map(|(address, known)| {
             let detour = if near.contains(&known.data_centre) { 0.0 } else { DETOUR_PENALTY };
-            let failure = if known.avoided_until > now { FAILURE_PENALTY } else { 0.0 };
+            let failure = if known.has_failed(now) { FAILURE_PENALTY } else { 0.0 };
             let tie_breaker: f64 = rng.random();
-            (f64::from(known.in_flight) + detour + failure + tie_breaker, *address)
+            (known.waiting.len() as f64 + detour + failure + tie_breaker, *address)
         });
         let (_, address) = scored.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
+        let request = self.next_request;
+        self.next_request += 1;
         if let Some(chosen) = self.forwarders.get_mut(&address) {
-            chosen.in_flight += 1;
+            chosen.waiting.insert(request, now);
         }
-        Some(address)
+        Some(Choice { address, request })
     }
 
-    /// Records the end of a request at a forwarder.
-    pub fn finish(&mut self, address: SocketAddr) {
-        if let Some(known) = self.forwarders.get_mut(&address) {
-            known.in_flight = known.in_flight.saturating_sub(1);
+    /// Records that the forwarder has responded to a request, or that the request was given up.
+    pub fn finish(&mut self, now: Millis, choice: Choice, has_response: bool) {
+        let Some(known) = self.forwarders.get_mut(&choice.address) else { return };
+        known.waiting.remove(&choice.request);
+        if has_response {
+            known.responded_at = now;
         }
     }
 
@@ -144,4 +168,13 @@
     fn is_valid(&self, now: Millis) -> bool {
         self.can_forward && now - self.said_at < OFFER_TTL
     }
+
+    /// Whether the forwarder has failed a moment ago, or has not responded to anything for too long.
+    fn has_failed(&self, now: Millis) -> bool {
+        let is_silent =
+            self.waiting.values().next().is_some_and(|sent_at| {
+                now - *sent_at > MAX_SILENCE && self.responded_at < *sent_at
+            });
+        self.avoided_until > now || is_silent
+    }
 }
--- a/serving/tests/forward.rs
+++ b/serving/tests/forward.rs
@@ -39,19 +39,34 @@
 #[test]
 fn only_nodes_that_lately_said_so_forward() {
     let (mut state, mut rng) = (State::default(), rng());
-    assert_eq!(state.choose(Millis(0), &[], &none(), &mut rng), None);
+    assert_eq!(state.choose(Millis(0), &[], &none(), &mut rng).map(|choice| choice.address), None);
     state.record_offer(Millis(0), offer(1, true), data_centre(1));
-    assert_eq!(state.choose(Millis(1_999), &[], &none(), &mut rng), Some(address(1)));
-    assert_eq!(state.choose(Millis(2_000), &[], &none(), &mut rng), None);
+    assert_eq!(
+        state.choose(Millis(1_999), &[], &none(), &mut rng).map(|choice| choice.address),
+        Some(address(1))
+    );
+    assert_eq!(
+        state.choose(Millis(2_000), &[], &none(), &mut rng).map(|choice| choice.address),
+        None
+    );
     state.record_offer(Millis(2_100), offer(1, true), data_centre(1));
     state.record_offer(Millis(2_200), offer(1, false), data_centre(1));
-    assert_eq!(state.choose(Millis(2_200), &[], &none(), &mut rng), None);
+    assert_eq!(
+        state.choose(Millis(2_200), &[], &none(), &mut rng).map(|choice| choice.address),
+        None
+    );
     // Others may pass on what it said before.
     let notice = Notice { address: address(1), data_centre: data_centre(1), age: Millis(150) };
     state.merge(Millis(2_250), address(0), &[notice]);
-    assert_eq!(state.choose(Millis(2_250), &[], &none(), &mut rng), None);
+    assert_eq!(
+        state.choose(Millis(2_250), &[], &none(), &mut rng).map(|choice| choice.address),
+        None
+    );
     state.merge(Millis(2_300), address(0), &[Notice { age: Millis(50), ..notice }]);
-    assert_eq!(state.choose(Millis(2_300), &[], &none(), &mut rng), Some(address(1)));
+    assert_eq!(
+        state.choose(Millis(2_300), &[], &none(), &mut rng).map(|choice| choice.address),
+        Some(address(1))
+    );
 }
 
 /// A forwarder that failed is used only if there is no other one for a while, and the node itself is
@@ -64,17 +79,49 @@
     }
     state.avoid(Millis(10), address(1));
     for _ in 0..10 {
-        assert_eq!(state.choose(Millis(20), &[], &none(), &mut rng), Some(address(2)));
+        assert_eq!(
+            state.choose(Millis(20), &[], &none(), &mut rng).map(|choice| choice.address),
+            Some(address(2))
+        );
     }
     let tried = BTreeSet::from([address(2)]);
-    assert_eq!(state.choose(Millis(20), &[], &tried, &mut rng), Some(address(1)));
+    assert_eq!(
+        state.choose(Millis(20), &[], &tried, &mut rng).map(|choice| choice.address),
+        Some(address(1))
+    );
     let tried = BTreeSet::from([address(1), address(2)]);
-    assert_eq!(state.choose(Millis(20), &[], &tried, &mut rng), None);
+    assert_eq!(state.choose(Millis(20), &[], &tried, &mut rng).map(|choice| choice.address), None);
     let own = Notice { address: address(0), data_centre: data_centre(0), age: Millis(0) };
     state.merge(Millis(600), address(0), &[own]);
     assert_eq!(state.count(Millis(600)), 2);
 }
 
+/// A forwarder that responds to nothing is used only if there is no other one; one that is slow with a
+/// single request is not left out.
+#[test]
+fn forwarder_that_does_not_respond_is_avoided() {
+    let (mut state, mut rng) = (State::default(), rng());
+    state.record_offer(Millis(0), offer(1, true), data_centre(0));
+    let first = state.choose(Millis(0), &[], &none(), &mut rng).unwrap();
+    let second = state.choose(Millis(10), &[], &none(), &mut rng).unwrap();
+    for index in [1, 2] {
+        state.record_offer(Millis(600), offer(index, true), data_centre(0));
+    }
+    for _ in 0..5 {
+        let chosen = state.choose(Millis(600), &[], &none(), &mut rng).unwrap();
+        assert_eq!(chosen.address, address(2));
+        state.finish(Millis(600), chosen, false);
+    }
+    state.finish(Millis(600), second, true);
+    let mut chosen = BTreeSet::new();
+    for _ in 0..20 {
+        let choice = state.choose(Millis(610), &[], &none(), &mut rng).unwrap();
+        chosen.insert(choice.address);
+    }
+    assert_eq!(chosen.len(), 2);
+    state.finish(Millis(620), first, true);
+}
+
 /// Bytes cross between data centres once rather than twice, unless the load on the near forwarders
 /// is much higher.
 #[test]
@@ -86,12 +133,16 @@
     let near = [data_centre(1), data_centre(2)];
     let mut chosen: BTreeMap<SocketAddr, u32> = BTreeMap::new();
     for _ in 0..4 {
-        *chosen.entry(state.choose(Millis(1), &near, &none(), &mut rng).unwrap()).or_default() += 1;
+        *chosen
+            .entry(state.choose(Millis(1), &near, &none(), &mut rng).unwrap().address)
+            .or_default() += 1;
     }
     let expected = [1, 2, 5, 6].map(|index| (address(index), 1));
     assert_eq!(chosen, BTreeMap::from(expected));
     for _ in 0..28 {
-        *chosen.entry(state.choose(Millis(1), &near, &none(), &mut rng).unwrap()).or_default() += 1;
+        *chosen
+            .entry(state.choose(Millis(1), &near, &none(), &mut rng).unwrap().address)
+            .or_default() += 1;
     }
     assert!(chosen.values().all(|count| (2..=6).contains(count)), "{chosen:?}");
     assert_eq!(chosen.len(), 8);
@@ -134,7 +185,7 @@
         }
         assert!(state.count(now) >= 2, "node {index} knows {}", state.count(now));
         for _ in 0..4 {
-            let chosen = state.choose(now, &[], &none(), &mut rng).unwrap();
+            let chosen = state.choose(now, &[], &none(), &mut rng).unwrap().address;
             *shares.entry(chosen).or_default() += 1;
         }
     }
