fix(forward): don't confirm crashes on a path that is down

A cut node that lost a request's connection asked another node, which was cut at the same moment and had not noticed; that one could not reach the upstream and said so, and a sound request was convicted. The node that is asked now checks its own path first and refuses to say if it has none.

Ejections from while the path was down end when it comes back, too: they would have gone into gossip then.

--- a/serving/src/forward/client.rs
+++ b/serving/src/forward/client.rs
@@ -32,8 +32,9 @@
 /// Maximum number of forwarders that one send tries. Those that can't forward it don't count as
 /// attempts, because the request was not sent to an upstream.
 const MAX_TRIES: usize = 3;
-/// How long to wait for the reply to a probe: the forwarder's connect timeout and the way there.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long to wait for the reply to a probe: twice the forwarder's connect timeout, for the upstream and
+/// for the check of the forwarder's own path, and the way there.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(800);
 /// Limit of requests of other nodes that this node forwards at the same time.
 const MAX_FORWARDED: usize = 256;
 
--- a/serving/src/forward/server.rs
+++ b/serving/src/forward/server.rs
@@ -25,7 +25,7 @@
     id::{Upstream, Version},
     parts::Prompt,
     time::Millis,
-    uplink::{self, Sign},
+    uplink::{self, Health, Sign},
     upstream::{self, Body, Codec, Delivery, FailureKind, Head, Options},
 };
 
@@ -138,8 +138,7 @@
     let host = text(HOST).unwrap_or_default().to_string();
     let pick = find(context, &upstream).ok_or(Outcome::Refused)?;
     if is_probe {
-        let is_reachable = context.pool.is_reachable(pick.address).await;
-        return Err(if is_reachable { Outcome::Reachable } else { Outcome::Unreachable });
+        return Err(probe(context, &pick).await);
     }
     if !context.uplink().can_forward(context.clock.now()) {
         return Err(Outcome::Refused);
@@ -183,6 +182,18 @@
     Ok(Response::from_parts(parts, Chunks::new(answer.body, deadline, permit)))
 }
 
+/// Whether this node reaches an upstream. It refuses to say so if its own path is down.
+async fn probe(context: &Arc<Context>, pick: &Pick) -> Outcome {
+    if context.pool.is_reachable(pick.address).await {
+        return Outcome::Reachable;
+    }
+    uplink::check_path(context, pick, Sign::ConnectFailed);
+    match uplink::settled_health(context).await {
+        Health::Up => Outcome::Unreachable,
+        Health::Suspect | Health::Down => Outcome::Refused,
+    }
+}
+
 /// The registered upstream with this id.
 fn find(context: &Context, upstream: &Upstream) -> Option<Pick> {
     let fleet = context.fleet();
--- a/serving/src/forward/state.rs
+++ b/serving/src/forward/state.rs
@@ -17,14 +17,14 @@
 const AVOIDANCE: Millis = Millis(500);
 /// Time without a response to any request after which a forwarder counts as failed.
 const MAX_SILENCE: Millis = Millis(500);
-/// Penalty on these forwarders, in requests in flight.
+/// Penalty on forwarders that failed, in waiting requests.
 const FAILURE_PENALTY: f64 = 1_000.0;
 /// Number of forwarders that one gossip message names.
 const MAX_NOTICES: usize = 8;
 /// Maximum number of known forwarders; more than a node uses.
 const MAX_FORWARDERS: usize = 512;
-/// Penalty on forwarders in a data centre that is neither the sender's nor the upstream's, in
-/// requests in flight: bytes cross between data centres twice.
+/// Penalty on forwarders in a data centre that is neither the sender's nor the upstream's, in waiting
+/// requests: bytes cross between data centres twice.
 const DETOUR_PENALTY: f64 = 2.0;
 
 #[derive(Clone, Debug)]
@@ -118,8 +118,9 @@
         self.forwarders.values().filter(|known| known.is_valid(now)).count()
     }
 
-    /// Chooses the forwarder with the fewest requests of this node, preferably in one of the data
-    /// centres `near` and none that `excluded` names, and counts the request as waiting there until [`State::finish`].
+    /// Chooses the forwarder with the fewest waiting requests of this node, preferably in one of the
+    /// data centres `near` and none that `excluded` names. The request counts as waiting there until
+    /// [`State::finish`].
     pub fn choose(
         &mut self,
         now: Millis,
--- a/serving/src/uplink/mod.rs
+++ b/serving/src/uplink/mod.rs
@@ -8,4 +8,4 @@
 mod task;
 
 pub use state::{Change, Health, Sign, State};
-pub(crate) use task::{Verdict, check_path, examine};
+pub(crate) use task::{Verdict, check_path, examine, settled_health};
--- a/serving/src/uplink/task.rs
+++ b/serving/src/uplink/task.rs
@@ -71,7 +71,7 @@
 }
 
 /// The health of the path after the check in progress.
-async fn settled_health(context: &Arc<Context>) -> Health {
+pub(crate) async fn settled_health(context: &Arc<Context>) -> Health {
     loop {
         let health = context.uplink().health();
         if health != Health::Suspect {
@@ -84,10 +84,13 @@
 fn record_check(context: &Arc<Context>, has_reached_any: bool) {
     let now = context.clock.now();
     let change = context.uplink().record_check(now, has_reached_any);
+    if change.is_some() {
+        // Ejections from while the path was suspect or down say nothing of the upstreams.
+        context.balance().clear_own_ejections();
+    }
     match change {
         Some(Change::Lost) => {
             context.metrics.uplink_up.set(0);
-            context.balance().clear_own_ejections();
             log::warn!(tried = CHECKED_UPSTREAMS, forwarders = context.forwarders.count(now); "path to upstreams lost: none of several can be reached; requests go through other nodes");
             tokio::spawn(probe(Arc::clone(context)));
         }
