feat(access): identify the workspace of a request by its key

A configuration with workspaces was ignored: every request ran without a key, and the key reached the upstreams. Without workspaces nothing changes.

--- a/serving/src/balance/load.rs
+++ b/serving/src/balance/load.rs
@@ -53,6 +53,8 @@
     pub running: u32,
     pub waiting: u32,
     pub slots: u32,
+    /// Percentage of the usual time that work takes at this moment, if stated.
+    pub pace: Option<u32>,
 }
 
 impl Stated {
--- a/serving/src/batch/coordinator.rs
+++ b/serving/src/batch/coordinator.rs
@@ -73,6 +73,7 @@
             host: address.to_string(),
             headers: HeaderMap::new(),
             body: Bytes::from(body),
+            workspace: None,
         };
         let peer = Upstream(address.to_string());
         let options = Options { upstream: &peer, deadline: None, resume_after: None };
--- a/serving/src/batch/run.rs
+++ b/serving/src/batch/run.rs
@@ -69,6 +69,7 @@
         host: host.to_string(),
         headers,
         body: item.body.clone().into(),
+        workspace: None,
     })
 }
 
--- a/serving/src/catalog.rs
+++ b/serving/src/catalog.rs
@@ -6,6 +6,7 @@
 };
 
 use crate::{
+    access::Directory,
     id::{Route as RouteId, Service},
     time::Millis,
 };
@@ -49,6 +50,8 @@
     /// Path prefix; begins and ends with a slash.
     pub prefix: String,
     pub kind: Kind,
+    /// Whether requests need no key although the configuration has workspaces.
+    pub is_public: bool,
     /// Weighted services. At least one entry; the sum of the weights is greater than zero.
     pub split: Vec<Share>,
     /// Time within which the complete response must be sent.
@@ -111,6 +114,8 @@
 pub struct Catalog {
     pub version: u64,
     pub limits: Limits,
+    /// Keys of the workspaces; `None` if requests need no key.
+    pub workspaces: Option<Directory>,
     /// Routes by host, sorted by descending length of their prefix.
     routes: BTreeMap<String, Vec<Arc<Route>>>,
 }
@@ -124,7 +129,7 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
-        Catalog { version, limits, routes: by_host }
+        Catalog { version, limits, workspaces: None, routes: by_host }
     }
 
     /// Finds the route of a request: the one with the longest matching prefix among those of
--- a/serving/src/exchange/task.rs
+++ b/serving/src/exchange/task.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 
 use crate::{
+    access::Member,
     balance::{self, Class, Criteria, Digest, Outcome, Pick, Refusal, limit},
     catalog::Route,
     fleet::{self, Software},
@@ -69,6 +70,8 @@
     /// Id of the request that brought the first event of the stream that the caller resumes.
     pub resumes: Option<String>,
     pub prompt: Prompt,
+    /// The workspace of the caller; `None` if the request needs no key.
+    pub member: Option<Arc<Member>>,
 }
 
 /// Result of a request for its caller.
--- a/serving/src/forward/client.rs
+++ b/serving/src/forward/client.rs
@@ -254,6 +254,7 @@
         host: address.to_string(),
         headers: HeaderMap::new(),
         body: Bytes::new(),
+        workspace: None,
     };
     let codec = HopCodec {
         inner: &upstream::Passthrough,
--- a/serving/src/forward/server.rs
+++ b/serving/src/forward/server.rs
@@ -154,6 +154,8 @@
         host,
         headers: parts.headers,
         body,
+        // The sender has already encoded the workspace in the headers.
+        workspace: None,
     };
     let deadline = Instant::now() + timeout;
     let options = Options { upstream: &upstream, deadline: Some(timeout), resume_after: None };
--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`upstream::Codec`] for the headers of requests and responses. An adapter crate implements both
 //! and supplies the registered upstreams and the configuration.
 
+pub mod access;
 pub mod balance;
 pub mod batch;
 
--- a/serving/src/upstream/mod.rs
+++ b/serving/src/upstream/mod.rs
@@ -12,6 +12,7 @@
 
 use crate::{
     balance::{Stated, limit::Rate},
+    id::Workspace,
     parts::Prompt,
     time::Millis,
 };
@@ -36,6 +37,8 @@
     /// Headers without the hop-by-hop ones and without those that [`Codec::encode`] sets.
     pub headers: HeaderMap,
     pub body: Bytes,
+    /// The workspace that the request belongs to, as the upstream is told.
+    pub workspace: Option<Workspace>,
 }
 
 /// Options of one send of a request; they differ between the attempts.
--- a/serving/tests/catalog.rs
+++ b/serving/tests/catalog.rs
@@ -15,6 +15,7 @@
         id: id.into(),
         host: host.to_string(),
         prefix: prefix.to_string(),
+        is_public: false,
         kind: Kind::Idempotent,
         split: split.iter().map(share).collect(),
         timeout: Millis(1_000),
--- a/serving/tests/jobs.rs
+++ b/serving/tests/jobs.rs
@@ -101,6 +101,7 @@
         id: "batch".into(),
         host: HOST.to_string(),
         prefix: "/jobs/".to_string(),
+        is_public: false,
         kind: Kind::Batch,
         split: vec![Share { service: "model".into(), weight: 1 }],
         timeout: Millis(5_000),
--- a/serving/tests/ledger.rs
+++ b/serving/tests/ledger.rs
@@ -128,6 +128,7 @@
         id: "batch".into(),
         host: "a.example".to_string(),
         prefix: "/x/".to_string(),
+        is_public: false,
         kind: Kind::Batch,
         split: vec![Share { service: "model".into(), weight: 1 }],
         timeout: Millis(5_000),
