fix(exchange): send requests again that another upstream answers at the address

Cause: the refusal (421) used up the only attempt of a route with max_attempts 1, although no upstream of the service had got the request, and the upstream was ejected for 250 ms only, so that each of 89 nodes found out for itself, several times.

Such a refusal no longer counts as an attempt. The upstream is ejected for 10 s or until its entry changes, and the ejection reaches the other nodes by gossip as before.

--- a/serving/src/balance/request.rs
+++ b/serving/src/balance/request.rs
@@ -89,6 +89,8 @@
     Neutral,
     /// The upstream refused the request for lack of capacity.
     Full,
+    /// Another upstream has the address, so this one is gone although it is still registered.
+    Misdirected,
     /// The connection failed, or the upstream sent no response or an incomplete one.
     Failed,
 }
--- a/serving/src/balance/settings.rs
+++ b/serving/src/balance/settings.rs
@@ -34,6 +34,9 @@
     pub eject_ms: u64,
     /// Maximum duration of an ejection in milliseconds.
     pub eject_max_ms: u64,
+    /// Milliseconds of the ejection after another upstream answered at the address: the time in which
+    /// the registry removes the entry, unless it is unavailable.
+    pub misdirected_ms: u64,
     /// Number of other nodes whose ejections make this node treat an upstream as ejected too.
     pub eject_witnesses: usize,
     /// Milliseconds after which the last load update of another node expires.
@@ -57,6 +60,7 @@
             full_ms: 60,
             eject_ms: 250,
             eject_max_ms: 3_000,
+            misdirected_ms: 10_000,
             eject_witnesses: 2,
             load_expiry_ms: 1_000,
             retry_after_ms: 200,
--- a/serving/src/balance/state.rs
+++ b/serving/src/balance/state.rs
@@ -109,11 +109,12 @@
     }
 
     /// Adds an upstream or updates its entry. Its load and health are reset if its process
-    /// restarted or its service changed.
+    /// restarted or its service or address changed.
     pub fn upsert(&mut self, upstream: &Upstream, entry: &Entry) {
         if let Some(replica) = self.replicas.get_mut(upstream)
             && replica.entry.started == entry.started
             && replica.entry.service == entry.service
+            && replica.entry.address == entry.address
         {
             replica.entry = entry.clone();
             return;
@@ -246,6 +247,7 @@
             Outcome::Succeeded => replica.record_success(),
             Outcome::Neutral => {}
             Outcome::Full => replica.full_until = now + Millis(self.settings.full_ms),
+            Outcome::Misdirected => self.record_misdirected(now, &pick.upstream),
             Outcome::Failed => self.record_failure(now, &pick.upstream),
         }
         self.update_own_load(&pick.upstream, own_load);
@@ -303,6 +305,14 @@
         }
     }
 
+    /// Records that the address of an upstream belongs to another one.
+    fn record_misdirected(&mut self, now: Millis, upstream: &Upstream) {
+        if let Some(replica) = self.replicas.get_mut(upstream) {
+            replica.ejected_until = now + Millis(self.settings.misdirected_ms);
+            self.ejected.insert(upstream.clone());
+        }
+    }
+
     pub(super) fn update_own_load(&mut self, upstream: &Upstream, own_load: Load) {
         let digest = Digest::of(upstream);
         match own_load.total() {
--- a/serving/src/batch/run.rs
+++ b/serving/src/batch/run.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     balance::Outcome,
-    exchange::{Context, Permit, events::Splitter},
+    exchange::{Context, Permit, events::Splitter, state::health_outcome},
     time::Millis,
     uplink::{Sign, check_path},
     upstream::{Failure, FailureKind, Options, Request},
@@ -106,11 +106,7 @@
                 if let Some(sign) = sign {
                     check_path(&self.context, &self.permit.pick, sign);
                 }
-                self.permit.outcome = match failure.kind {
-                    FailureKind::Overloaded => Outcome::Full,
-                    FailureKind::NoPath => Outcome::Neutral,
-                    _ => Outcome::Failed,
-                };
+                self.permit.outcome = health_outcome(&failure);
                 (RunEnd::Interrupted, failure.message)
             }
         };
--- a/serving/src/exchange/state.rs
+++ b/serving/src/exchange/state.rs
@@ -189,7 +189,7 @@
     }
 
     /// Records a failed send and decides what to do next. A send that didn't reach the upstream
-    /// doesn't count as an attempt. Nor does a refusal by an upstream that took over from a silent
+    /// doesn't count as an attempt, also if another upstream at its address refused it. Nor does a refusal by an upstream that took over from a silent
     /// one, which may be tried again because it may have gone on if it had kept the request.
     pub fn record_failure(
         &mut self,
@@ -205,6 +205,9 @@
                 self.excluded.remove(&silent);
             }
             (Delivery::NotSent, None) => self.attempts += 1,
+            (Delivery::Refused, None) if failure.kind == FailureKind::Misdirected => {
+                self.attempts += 1;
+            }
             (Delivery::Refused, None) | (Delivery::Sent, _) => {}
         }
         if failure.delivery == Delivery::Sent {
@@ -276,10 +279,8 @@
     match failure.kind {
         FailureKind::Overloaded => Outcome::Full,
         FailureKind::NoPath => Outcome::Neutral,
-        FailureKind::Connect
-        | FailureKind::Misdirected
-        | FailureKind::TimedOut
-        | FailureKind::Broken => Outcome::Failed,
+        FailureKind::Misdirected => Outcome::Misdirected,
+        FailureKind::Connect | FailureKind::TimedOut | FailureKind::Broken => Outcome::Failed,
     }
 }
 
--- a/serving/tests/balance.rs
+++ b/serving/tests/balance.rs
@@ -206,6 +206,28 @@
     assert_eq!(choose(&mut single, 1, Class::Online).unwrap().upstream, pick.upstream);
 }
 
+/// Guards against sending further requests to an upstream that is gone while the registry, which may
+/// be unavailable, still lists it.
+#[test]
+fn upstream_whose_address_belongs_to_another_one_gets_no_requests_until_its_entry_changes() {
+    let mut state = state(3);
+    let pick = choose(&mut state, 0, Class::Online).unwrap();
+    state.finish(Millis(0), &pick, Outcome::Misdirected);
+    let last = Settings::default().misdirected_ms - 1;
+    for now in [1, last] {
+        for _ in 0..SLOTS {
+            let other = choose(&mut state, now, Class::Online).unwrap();
+            assert_ne!(other.upstream, pick.upstream);
+            state.finish(Millis(now), &other, Outcome::Succeeded);
+        }
+    }
+    let mut entries = fleet(3);
+    entries.get_mut(&pick.upstream).unwrap().address = "10.0.1.1:80".parse().unwrap();
+    state.replace(&entries);
+    let mut chosen = (0..3).map(|_| choose(&mut state, last, Class::Online).unwrap().upstream);
+    assert!(chosen.any(|upstream| upstream == pick.upstream));
+}
+
 /// An upstream that fails every second request never reaches two consecutive failures, so its
 /// ejection must grow with its failure rate.
 #[test]
--- a/serving/tests/exchange_state.rs
+++ b/serving/tests/exchange_state.rs
@@ -47,6 +47,7 @@
     };
     assert_eq!(outcome(FailureKind::NoPath), Outcome::Neutral);
     assert_eq!(outcome(FailureKind::Overloaded), Outcome::Full);
+    assert_eq!(outcome(FailureKind::Misdirected), Outcome::Misdirected);
     for kind in [FailureKind::Connect, FailureKind::TimedOut, FailureKind::Broken] {
         assert_eq!(outcome(kind), Outcome::Failed);
     }
@@ -66,6 +67,23 @@
     assert_eq!(fail(&mut state, 0, 2, Delivery::Refused), Action::End(End::NotRun));
 }
 
+/// Guards against a refusal of a request with one attempt while the registry still lists an upstream
+/// that is gone: the upstream that has its address now doesn't run the request.
+#[test]
+fn request_answered_by_another_upstream_is_sent_again() {
+    let mut state = state(Kind::AtMostOnce, 1);
+    let kind = FailureKind::Misdirected;
+    let message = "another upstream has the address".to_string();
+    let misdirected = Failure { kind, delivery: Delivery::Refused, message };
+    for index in 0..3 {
+        state.record_send();
+        let upstream = Upstream(format!("replica-{index}"));
+        let action = state.record_failure(Millis(0), &upstream, &misdirected);
+        assert_eq!(action, Action::Send { resume_after: None });
+    }
+    assert_eq!(fail(&mut state, 0, 3, Delivery::Refused), Action::End(End::NotRun));
+}
+
 #[test]
 fn idempotent_request_is_retried_within_its_attempts() {
     let mut state = state(Kind::Idempotent, 2);
