feat(node): keep requests while a node that starts reads the log

Requests now wait for these reads, until 300 ms after the start of the process at most; a node that can't read the log refuses as before.

--- a/serving/src/node.rs
+++ b/serving/src/node.rs
@@ -8,6 +8,8 @@
     },
 };
 
+use tokio::sync::Notify;
+
 use crate::{
     balance, catalog,
     catalog::Catalog,
@@ -29,6 +31,10 @@
 /// Limit of log lines for fleet changes that are applied together, which are many at startup.
 const MAX_CHANGE_LINES: usize = 32;
 
+/// Time after its start in which a node keeps requests until it has read the configuration and the
+/// registry. A refusal would cost callers a retry after all nodes were lost, when they return at once.
+const STARTUP_TIME: Millis = Millis(300);
+
 /// The identity of a node, fixed for the lifetime of the process.
 pub struct Identity {
     pub vm: Vm,
@@ -50,6 +56,8 @@
     pub exchange: Arc<exchange::Context>,
     pub catalog: catalog::Handle,
     draining: AtomicBool,
+    /// Notified of each update of the configuration or of the whole fleet.
+    updated: Notify,
 }
 
 impl Node {
@@ -81,6 +89,7 @@
             exchange: Arc::new(exchange),
             catalog: catalog::Handle::default(),
             draining: AtomicBool::new(false),
+            updated: Notify::new(),
         }
     }
 
@@ -95,6 +104,7 @@
         if self.catalog.update(catalog) {
             log::info!(version = version, routes = routes, source = source; "configuration updated");
         }
+        self.updated.notify_waiters();
     }
 
     /// Records that the registry was read successfully. Must be called before the changes from that
@@ -107,6 +117,7 @@
     pub fn replace_fleet(&self, entries: BTreeMap<Upstream, fleet::Entry>) {
         let changes = lock(&self.exchange.fleet).replace(self.exchange.clock.now(), entries);
         self.apply_changes(&changes);
+        self.updated.notify_waiters();
     }
 
     /// Applies changes of the registry in order: `None` removes the entry of an upstream.
@@ -138,6 +149,20 @@
             && !lock(&self.exchange.fleet).entries().is_empty()
     }
 
+    /// Waits until a node that has just started can serve requests, or until its startup time is
+    /// over.
+    pub async fn wait_for_startup(&self) {
+        loop {
+            let updated = self.updated.notified();
+            let now = self.exchange.clock.now();
+            if now >= STARTUP_TIME || self.is_ready() || self.is_draining() {
+                return;
+            }
+            // The loop ends with the startup time.
+            let _ = tokio::time::timeout((STARTUP_TIME - now).duration(), updated).await;
+        }
+    }
+
     pub fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Relaxed)
     }
