feat(access): lease on keys, so that a revoked key runs nothing after revoke_ms

Callers saw requests run for a revoked key for as long as a node was cut off from the log or suspended, because a node used the keys of its last configuration without a limit.

After that, requests with keys get 503 with Retry-After and the node isn't ready. The key and the lease are checked on arrival and again before each send of a request that has not begun; a request that hasn't run then ends as not run. A read confirms only if it reached the end of the topic (an empty page at its end, or all pages of the newest records), the log is not behind the configuration in force, and no newer configuration is known that can't be decoded. Without workspaces nothing is checked and reads are unchanged.

--- a/serving/src/access/directory.rs
+++ b/serving/src/access/directory.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    fmt,
     sync::Arc,
 };
 
@@ -9,8 +10,18 @@
 
 use crate::id::Workspace;
 
+use super::Caller;
+
 /// Digest of a key. Keys themselves are not kept, so that no log line or dump can show them.
-type KeyDigest = [u8; 32];
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct KeyDigest([u8; 32]);
+
+impl fmt::Debug for KeyDigest {
+    /// Hides the digest: short keys can be guessed from theirs.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("KeyDigest")
+    }
+}
 
 /// A workspace with its limits over all nodes together.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -62,10 +73,20 @@
 
     /// The workspace that holds `key`.
     pub fn find(&self, key: &str) -> Option<&Arc<Member>> {
-        self.members.get(&digest(key))
+        self.find_digest(digest(key))
+    }
+
+    /// The caller that presents `key`.
+    pub(super) fn find_caller(&self, key: &str) -> Option<Caller> {
+        let key = digest(key);
+        Some(Caller { member: Arc::clone(self.find_digest(key)?), key })
+    }
+
+    pub(super) fn find_digest(&self, key: KeyDigest) -> Option<&Arc<Member>> {
+        self.members.get(&key)
     }
 }
 
 fn digest(key: &str) -> KeyDigest {
-    Sha256::digest(key.as_bytes()).into()
+    KeyDigest(Sha256::digest(key.as_bytes()).into())
 }
--- a/serving/src/exchange/driver.rs
+++ b/serving/src/exchange/driver.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 
 use crate::{
+    access,
     balance::{Class, Outcome, Refusal},
     catalog::Kind,
     id::Version,
@@ -199,6 +200,11 @@
 
     /// Sends the request when it has no run.
     fn send_first(&mut self) -> Option<Output> {
+        if let Err(denial) = self.recheck_access() {
+            self.trace.record_denial(denial);
+            let end = self.state.end_without_upstream();
+            return Some(self.end(end, access::RETRY_AFTER));
+        }
         match self.choose() {
             Ok(permit) => {
                 let sending = self.send(&permit);
@@ -417,6 +423,11 @@
             }
             self.context.balance().record_failure(now, &current.permit.pick.upstream);
         }
+        if let Err(denial) = self.recheck_access() {
+            self.trace.record_denial(denial);
+            self.search_at = self.state.deadline();
+            return;
+        }
         match self.choose() {
             Ok(permit) => {
                 let sending = self.send(&permit);
@@ -432,6 +443,14 @@
         }
     }
 
+    /// Checks the key of a request that has not begun. A stream that has begun goes on.
+    fn recheck_access(&self) -> Result<(), access::Denial> {
+        match self.state.has_begun() {
+            true => Ok(()),
+            false => self.context.recheck_access(&self.routed),
+        }
+    }
+
     /// Chooses an upstream for the next send, unless a part of the prompt is blocked by now.
     fn choose(&self) -> Result<Permit, Refusal> {
         let (now, prompt) = (self.context.clock.now(), &self.routed.prompt);
--- a/serving/src/exchange/task.rs
+++ b/serving/src/exchange/task.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 
 use crate::{
-    access::Member,
+    access::{Denial, Guard, KeyDigest, Member},
     balance::{self, Class, Criteria, Digest, Outcome, Pick, Refusal, limit},
     catalog::Route,
     fleet::{self, Software},
@@ -38,6 +38,7 @@
 /// State that all requests share with the rest of the process.
 pub struct Context {
     pub clock: Clock,
+    pub access: Guard,
     pub balance: Mutex<balance::State>,
     pub quarantine: Mutex<Quarantine>,
     pub parts: Mutex<parts::State>,
@@ -72,6 +73,8 @@
     pub prompt: Prompt,
     /// The workspace of the caller; `None` if the request needs no key.
     pub member: Option<Arc<Member>>,
+    /// The key by which the caller was identified. Set exactly if `member` is.
+    pub key: Option<KeyDigest>,
 }
 
 /// Result of a request for its caller.
@@ -243,6 +246,16 @@
         }
     }
 
+    /// Checks right before a send whether the request may still run for its key.
+    pub(super) fn recheck_access(&self, routed: &RoutedRequest) -> Result<(), Denial> {
+        let (Some(key), Some(member)) = (routed.key, &routed.member) else { return Ok(()) };
+        let checked = self.access.recheck(key, member);
+        if let Err(denial) = checked {
+            self.metrics.count(&self.metrics.access_refusals, "send", denial.as_str());
+        }
+        checked
+    }
+
     /// Counts a failed send by its kind.
     pub(crate) fn count_failure(&self, pick: &Pick, failure: &Failure) {
         let (class, kind) = (pick.class.to_string(), failure.kind.to_string());
--- a/serving/src/exchange/trace.rs
+++ b/serving/src/exchange/trace.rs
@@ -4,7 +4,7 @@
 
 use prometheus_client::metrics::histogram::Histogram;
 
-use crate::{balance::Refusal, metrics::RouteLabel, time::Millis, upstream};
+use crate::{access::Denial, balance::Refusal, metrics::RouteLabel, time::Millis, upstream};
 
 use super::{Context, RoutedRequest, task::Permit};
 
@@ -94,6 +94,11 @@
         self.append_to_sends(format_args!("{refusal:?} @{at}"));
     }
 
+    pub(super) fn record_denial(&mut self, denial: Denial) {
+        let at = self.elapsed();
+        self.append_to_sends(format_args!("{} @{at}", denial.as_str()));
+    }
+
     pub(super) fn record_first_event(&mut self) {
         if self.first_event.is_some() {
             return;
--- a/serving/src/log_store.rs
+++ b/serving/src/log_store.rs
@@ -69,6 +69,8 @@
 pub struct Page {
     /// The offset after the last record that was read.
     pub next: Offset,
+    /// The offset after the last record of the partition.
+    pub end: Offset,
     /// Records in the order of offsets. `None` stands for a record that can't be parsed.
     pub records: Vec<Option<Record>>,
 }
@@ -80,6 +82,8 @@
     /// snapshot in several pages, so later pages may already contain some of these records.
     pub end: Offset,
     pub records: Vec<Record>,
+    /// Whether the service returned all pages of the snapshot.
+    pub is_complete: bool,
 }
 
 /// The partitions that are assigned to a member of a group.
--- a/serving/src/metrics.rs
+++ b/serving/src/metrics.rs
@@ -44,6 +44,10 @@
     pub forwarded: Family<Labels, Counter>,
     /// Whether this node's own path to the upstreams works: 1 or 0.
     pub uplink_up: Gauge,
+    /// Requests that were refused because of their key, by where and why.
+    pub access_refusals: Family<Labels, Counter>,
+    /// Milliseconds since the log confirmed that the node has the newest keys; 0 without workspaces.
+    pub key_age: Gauge,
     /// Calls to the log service by name and outcome.
     pub log_calls: Family<Labels, Counter>,
     /// Batch events, such as accepted jobs and finished items, by kind of object and outcome.
@@ -89,6 +93,18 @@
             "Whether the node's own path to the upstreams works",
             uplink_up.clone(),
         );
+        let access_refusals = Family::default();
+        registry.register(
+            "access_refusals",
+            "Requests refused because of their key",
+            access_refusals.clone(),
+        );
+        let key_age = Gauge::default();
+        registry.register(
+            "key_age_milliseconds",
+            "Time since the log confirmed the keys",
+            key_age.clone(),
+        );
         let log_calls = Family::default();
         registry.register("log_calls", "Calls to the log service", log_calls.clone());
         let batch_events = Family::default();
@@ -127,6 +143,8 @@
             ejections,
             forwarded,
             uplink_up,
+            access_refusals,
+            key_age,
             log_calls,
             batch_events,
             time_to_first_byte,
--- a/serving/src/node.rs
+++ b/serving/src/node.rs
@@ -11,6 +11,7 @@
 use tokio::sync::Notify;
 
 use crate::{
+    access::{self, Guard},
     balance, catalog,
     catalog::Catalog,
     exchange, fleet,
@@ -43,9 +44,10 @@
     pub seed: u64,
 }
 
-/// Settings of load balancing and of the connections to upstreams.
+/// Settings of load balancing, of the connections to upstreams and of the lease on keys.
 #[derive(Clone, Debug, Default)]
 pub struct Settings {
+    pub access: access::lease::Settings,
     pub balance: balance::Settings,
     pub pool: upstream::Settings,
 }
@@ -71,7 +73,9 @@
         let data_centre = identity.data_centre.clone();
         let balance = balance::State::new(settings.balance, data_centre, identity.seed);
         let fleet = Arc::new(Mutex::<fleet::State>::default());
+        let catalog = catalog::Handle::default();
         let exchange = exchange::Context {
+            access: Guard::new(settings.access, clock.clone(), catalog.clone()),
             origins: Arc::new(Origins::new(clock.clone(), Arc::clone(&fleet))),
             clock,
             fleet,
@@ -87,7 +91,7 @@
         Node {
             identity,
             exchange: Arc::new(exchange),
-            catalog: catalog::Handle::default(),
+            catalog,
             draining: AtomicBool::new(false),
             updated: Notify::new(),
         }
@@ -139,13 +143,15 @@
         self.apply_changes(&expired);
         self.exchange.pool.close_expired();
         self.exchange.forwarders.close_expired();
+        let age = self.exchange.access.age().filter(|_| self.exchange.access.has_keys());
+        self.exchange.metrics.key_age.set(age.map_or(0, |age| age.0 as i64));
     }
 
-    /// Whether the node is ready for new callers: it has a configuration and at least one upstream,
-    /// and is not draining.
+    /// Whether the node is ready for new callers: it has a configuration whose keys it may use and
+    /// at least one upstream, and is not draining.
     pub fn is_ready(&self) -> bool {
         !self.is_draining()
-            && self.catalog().is_some()
+            && self.catalog().is_some_and(|catalog| self.exchange.access.is_valid(&catalog))
             && !lock(&self.exchange.fleet).entries().is_empty()
     }
 
--- a/serving/src/time.rs
+++ b/serving/src/time.rs
@@ -8,6 +8,7 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
+use nix::time::{ClockId, clock_gettime};
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
@@ -72,7 +73,7 @@
     }
 }
 
-/// The monotonic and the wall clock of the machine. Only code that performs I/O holds one.
+/// The clocks of the machine. Only code that performs I/O holds one.
 #[derive(Clone, Debug)]
 pub struct Clock {
     start: Instant,
@@ -84,6 +85,14 @@
         Millis::from(self.start.elapsed())
     }
 
+    /// Returns the time since the machine started, including the time for which it was suspended,
+    /// which [`Clock::now`] leaves out.
+    pub fn boot_time(&self) -> Millis {
+        let time = clock_gettime(ClockId::CLOCK_BOOTTIME);
+        let time = time.expect("Linux has had this clock since version 2.6.39");
+        Millis::from(Duration::from(time))
+    }
+
     /// Returns the wall-clock time since the Unix epoch. Unlike [`Clock::now`] it can be compared
     /// between processes, but the clock can jump.
     pub fn wall_time(&self) -> Millis {
--- a/serving/tests/jobs.rs
+++ b/serving/tests/jobs.rs
@@ -12,6 +12,7 @@
 
 use http::HeaderMap;
 use serving::{
+    access::Guard,
     balance,
     batch::{
         Admission, Group, Handle, Location, Settings, TOPIC, Unavailable, partition_for,
@@ -174,6 +175,7 @@
         }
         let (clock, fleet) = (Clock::default(), Arc::default());
         let context = Context {
+            access: Guard::default(),
             origins: Arc::new(Origins::new(clock.clone(), Arc::clone(&fleet))),
             clock,
             fleet,
--- a/standins/src/keyed_log.rs
+++ b/standins/src/keyed_log.rs
@@ -231,7 +231,7 @@
                 let records: Vec<_> = part.records.iter().skip(skip).cloned().map(Some).collect();
                 if !records.is_empty() || self.clock.now() >= until {
                     let next = Offset(from.0 + records.len() as u64);
-                    return Ok(Page { next, records });
+                    return Ok(Page { next, end: Offset(part.end()), records });
                 }
             }
             tokio::time::sleep(Duration::from_millis(5)).await;
@@ -242,7 +242,8 @@
         self.fault().await?;
         let mut state = self.lock();
         let part = state.parts.entry(partition.clone()).or_default();
-        Ok(Snapshot { end: Offset(part.end()), records: newest(&part.records) })
+        let (end, records) = (Offset(part.end()), newest(&part.records));
+        Ok(Snapshot { end, records, is_complete: true })
     }
 
     async fn join(
