feat(batch): jobs belong to the workspace that submitted them

Callers of any workspace could read and cancel each other's jobs, two workspaces that used one id got one job, items ran without the name of their workspace and with headers of their own choice, and one workspace could take up the token quota of all.

Nodes keep a job of a workspace under an id that is scoped by a digest of the workspace's name (Job::scoped); ids without a workspace stay as they are, and an id with a slash, which no submission may have, can't name a job of a workspace. All jobs of a workspace are in one partition, so its owner decides on the quota of the workspace and route by itself: exact over all nodes, fenced by the log, and no gossip. The head appends the workspace after the old fields, only if there is one.

Ruled out: tokens by workspace in gossip. 1,400 workspaces take about 11 KB for each partition even with 32-bit digests, and cut to the largest ones they would refuse jobs of workspaces that have room. The price is that a large workspace has one owner.

--- a/serving/src/batch/directory.rs
+++ b/serving/src/batch/directory.rs
@@ -9,6 +9,8 @@
 use tokio::task::AbortHandle;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::id::Job;
+
 use super::{
     owner::{Handle, Verification},
     quota::{self, Report},
@@ -60,6 +62,11 @@
         Directory { partitions, table: Mutex::default(), quota }
     }
 
+    /// Returns where the owner of the job's partition is.
+    pub(super) fn locate_job(&self, job: &Job) -> Location {
+        self.locate(job.partition_key())
+    }
+
     /// Returns where the owner of the partition for `key` is.
     pub(super) fn locate(&self, key: &str) -> Location {
         let number = partition_for(key, self.partitions);
@@ -121,7 +128,13 @@
     }
 }
 
-/// Returns the partition of a job's id, or of the id of a route for its quota.
+/// Returns the partition of a job.
+pub(super) fn partition_of(job: &Job, partitions: u16) -> u16 {
+    partition_for(job.partition_key(), partitions)
+}
+
+/// Returns the partition of the id of a job without a workspace, or of the id of a route for its
+/// quota.
 pub fn partition_for(key: &str, partitions: u16) -> u16 {
     (xxh3_64(key.as_bytes()) % u64::from(partitions.max(1))) as u16
 }
--- a/serving/src/batch/group.rs
+++ b/serving/src/batch/group.rs
@@ -20,7 +20,7 @@
     Settings,
     budget::Budget,
     coordinator,
-    directory::{Directory, LocalOwner, Location, partition_for},
+    directory::{Directory, LocalOwner, Location, partition_of},
     ledger::Ledger,
     owner::{self, Dependencies, Page, Unavailable, Verification},
     quota::Report,
@@ -100,8 +100,8 @@
     }
 
     /// Returns where the owner of the job's partition is.
-    pub fn locate(&self, job: &str) -> Location {
-        self.directory.locate(job)
+    pub fn locate(&self, job: &Job) -> Location {
+        self.directory.locate_job(job)
     }
 
     /// Returns the partitions that this node owns, each with its report, to send to other nodes.
@@ -229,7 +229,7 @@
             log::debug!(job = job.0.as_str(); "read of a job from the log refused: over the budget");
             return Err(Unavailable::NotAccepted);
         };
-        let number = partition_for(&job.0, self.dependencies.settings.partitions);
+        let number = partition_of(job, self.dependencies.settings.partitions);
         let partition = Partition { topic: TOPIC.to_string(), number };
         let snapshot = self.dependencies.store.read_latest(&partition).await;
         read.end(snapshot.is_ok());
--- a/serving/src/batch/ledger/mod.rs
+++ b/serving/src/batch/ledger/mod.rs
@@ -9,7 +9,12 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::{catalog::Catalog, id::Job as JobId, log_store, time::Millis};
+use crate::{
+    catalog::Catalog,
+    id::{Job as JobId, Workspace},
+    log_store,
+    time::Millis,
+};
 
 use super::record::{self, Head, Key, Outcome, State};
 
@@ -77,6 +82,17 @@
         Ok(records)
     }
 
+    /// Tokens that wait for a workspace on the routes that `is_counted` accepts the heads of.
+    pub fn waiting_tokens(&self, workspace: &Workspace, is_counted: impl Fn(&Head) -> bool) -> u64 {
+        let is_counted = |job: &&Job| {
+            !job.cancelled
+                && job.head.workspace.as_ref() == Some(workspace)
+                && is_counted(&job.head)
+        };
+        let tokens = self.jobs.values().filter(is_counted).map(|job| job.waiting_tokens);
+        tokens.fold(0, u64::saturating_add)
+    }
+
     /// Marks a job as durable and makes its items ready to run.
     pub fn confirm_job(&mut self, id: &JobId) {
         if let Some(job) = self.jobs.get_mut(id) {
--- a/serving/src/batch/owner/calls.rs
+++ b/serving/src/batch/owner/calls.rs
@@ -5,7 +5,11 @@
 use bytes::Bytes;
 use tokio::{sync::oneshot, time::Instant};
 
-use crate::{catalog::Route, id::Job as JobId, time::Millis};
+use crate::{
+    catalog::Route,
+    id::{Job as JobId, Workspace},
+    time::Millis,
+};
 
 use super::{
     super::{coordinator::Reservation, ledger::Ledger, quota::Decision, record::Head},
@@ -88,6 +92,7 @@
             return;
         };
         let tokens = head.tokens();
+        let workspace = head.workspace.clone();
         let reservation = Reservation { job: id.clone(), route: route.id.clone(), tokens };
         self.submitted.insert(
             id.clone(),
@@ -96,10 +101,25 @@
         if route.token_quota == 0 {
             return self.handle_reservation(id, Ok(Decision::Granted));
         }
+        if let Some(workspace) = workspace {
+            let decision = self.decide_quota(&workspace, &route, tokens);
+            return self.handle_reservation(id, Ok(decision));
+        }
         let coordinator = self.dependencies.coordinator.clone();
         self.reservations.spawn(async move { (id, coordinator.reserve(reservation).await) });
     }
 
+    /// Decides whether a workspace has room for the tokens of another job in its quota of a route.
+    /// All its jobs are in this partition, and the log refuses jobs of an owner that has lost it.
+    fn decide_quota(&self, workspace: &Workspace, route: &Route, tokens: u64) -> Decision {
+        let is_on_route = |head: &Head| self.find_route(head).is_some_and(|on| on.id == route.id);
+        let waiting = self.ledger.waiting_tokens(workspace, is_on_route);
+        match waiting.saturating_add(tokens) > route.token_quota {
+            true => Decision::OverQuota,
+            false => Decision::Granted,
+        }
+    }
+
     /// Accepts or refuses a job after the coordinator's decision on its reservation.
     pub(super) fn handle_reservation(
         &mut self,
--- a/serving/src/batch/owner/items.rs
+++ b/serving/src/batch/owner/items.rs
@@ -128,8 +128,13 @@
     fn start_item(&mut self, item: ItemId, service: &Service) -> Start {
         let Some(job) = self.ledger.job(&item.job) else { return Start::Started };
         let entry = &job.head.items[item.index as usize];
-        let request = match run::request(&job.head.host, entry) {
-            Ok(request) => request,
+        let request = match run::request(&job.head, entry) {
+            Ok(mut request) => {
+                if request.workspace.is_some() || self.has_workspaces() {
+                    self.dependencies.context.codec.remove_identity(&mut request.headers);
+                }
+                request
+            }
             Err(reason) => {
                 log::warn!(job = item.job.0.as_str(), item = entry.id.as_str(), why = reason.as_str(); "dead-lettered an item that is no valid HTTP request");
                 let progress = self.ledger.start(&item);
@@ -174,6 +179,11 @@
         Start::Started
     }
 
+    fn has_workspaces(&self) -> bool {
+        let catalog = self.dependencies.catalog.current();
+        catalog.is_some_and(|catalog| catalog.workspaces.is_some())
+    }
+
     /// Whether an item has to wait because its prompt holds a blocked part.
     fn is_held_back(&self, item: &ItemId, request: &Request) -> bool {
         let context = &self.dependencies.context;
--- a/serving/src/batch/owner/mod.rs
+++ b/serving/src/batch/owner/mod.rs
@@ -31,7 +31,7 @@
 
 use super::{
     Settings, coordinator,
-    ledger::{ItemId, Ledger, Progress},
+    ledger::{ItemId, Job, Ledger, Progress},
     order::{self, Forecast},
     quota::{Decision, Report},
     record::Head,
@@ -279,7 +279,9 @@
     /// Reports the waiting items and their tokens, for the other owners and the quotas.
     fn report_waiting(&self, waiting_items: &BTreeMap<Service, Vec<order::WaitingItem>>) {
         let mut waiting = BTreeMap::new();
-        for (_, job) in self.ledger.jobs().filter(|(_, job)| !job.cancelled) {
+        // Each workspace has a quota of its own, which the owner of its jobs decides on.
+        let is_shared = |job: &Job| !job.cancelled && job.head.workspace.is_none();
+        for (_, job) in self.ledger.jobs().filter(|(_, job)| is_shared(job)) {
             if let Some(route) = self.find_route(&job.head) {
                 let tokens: &mut u64 = waiting.entry(route.id.clone()).or_default();
                 *tokens = tokens.saturating_add(job.waiting_tokens);
--- a/serving/src/batch/record.rs
+++ b/serving/src/batch/record.rs
@@ -8,7 +8,10 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::{id::Job, log_store};
+use crate::{
+    id::{Job, Workspace},
+    log_store,
+};
 
 pub type Result<T> = std::result::Result<T, postcard::Error>;
 
@@ -24,6 +27,10 @@
     /// Version of the configuration under which the job was accepted.
     pub config: u64,
     pub items: Vec<Item>,
+    /// The workspace that submitted the job. Encoded after the other fields, where older nodes ignore
+    /// it, and only if there is one.
+    #[serde(skip)]
+    pub workspace: Option<Workspace>,
 }
 
 impl Head {
@@ -121,7 +128,10 @@
 ///
 /// Fails if `head` can't be encoded.
 pub fn encode_head(job: &Job, head: &Head, bytes: usize) -> Result<Vec<log_store::Record>> {
-    let encoded = postcard::to_stdvec(head)?;
+    let mut encoded = postcard::to_stdvec(head)?;
+    if let Some(workspace) = &head.workspace {
+        encoded.extend(postcard::to_stdvec(workspace)?);
+    }
     let chunks: Vec<&[u8]> = encoded.chunks(bytes.max(1)).collect();
     let last = chunks.len() as u32 - 1;
     let record = |(index, chunk): (usize, &&[u8])| {
@@ -144,7 +154,15 @@
         }
         encoded.extend_from_slice(bytes);
     }
-    (total > 0).then(|| postcard::from_bytes(&encoded))
+    (total > 0).then(|| parse_head(&encoded))
+}
+
+fn parse_head(encoded: &[u8]) -> Result<Head> {
+    let (mut head, rest): (Head, &[u8]) = postcard::take_from_bytes(encoded)?;
+    if !rest.is_empty() {
+        head.workspace = Some(postcard::from_bytes(rest)?);
+    }
+    Ok(head)
 }
 
 /// Encodes the result at `position` of a job.
--- a/serving/src/batch/run.rs
+++ b/serving/src/batch/run.rs
@@ -19,7 +19,7 @@
 use super::{
     Settings,
     ledger::{ItemId, Progress, RunEnd},
-    record::Item,
+    record::{Head, Item},
 };
 
 /// Minimum time between two updates of the progress of a run. The owner keeps updates in memory until
@@ -55,7 +55,7 @@
 
 /// Builds the request of an item. Fails if its path or a header is not allowed in HTTP; such an
 /// item can never succeed.
-pub(super) fn request(host: &str, item: &Item) -> Result<Request, String> {
+pub(super) fn request(head: &Head, item: &Item) -> Result<Request, String> {
     let mut headers = HeaderMap::new();
     for (name, value) in &item.headers {
         let name: HeaderName = name.parse().map_err(|error| format!("{name}: {error}"))?;
@@ -66,10 +66,10 @@
         id: item.id.clone(),
         method: Method::POST,
         target: item.path.parse().map_err(|error| format!("{}: {error}", item.path))?,
-        host: host.to_string(),
+        host: head.host.clone(),
         headers,
         body: item.body.clone().into(),
-        workspace: None,
+        workspace: head.workspace.clone(),
     })
 }
 
--- a/serving/src/catalog.rs
+++ b/serving/src/catalog.rs
@@ -138,6 +138,12 @@
         self.routes.get(host)?.iter().find(|route| path.starts_with(&route.prefix))
     }
 
+    /// Whether callers without a key may submit jobs to a host.
+    pub fn has_public_batch_route(&self, host: &str) -> bool {
+        let routes = self.routes.get(host).into_iter().flatten();
+        routes.into_iter().any(|route| route.kind == Kind::Batch && route.is_public)
+    }
+
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Route>> {
         self.routes.values().flatten()
     }
--- a/serving/src/id.rs
+++ b/serving/src/id.rs
@@ -4,6 +4,7 @@
 
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 macro_rules! string_ids {
@@ -105,6 +106,33 @@
     Process(u32);
 }
 
+impl Job {
+    /// The id under which nodes keep the job that callers name `id`: another one in each workspace,
+    /// and `id` itself without a workspace, so that no caller can name a job of another workspace.
+    pub fn scoped(workspace: Option<&Workspace>, id: &str) -> Job {
+        let Some(workspace) = workspace else {
+            // Submitted ids hold no slash. One that does names no job, and must not name one of a
+            // workspace.
+            let separator = if id.contains('/') { "/" } else { "" };
+            return Job(format!("{separator}{id}"));
+        };
+        let digest = Sha256::digest(workspace.0.as_bytes());
+        let (scope, _) = digest.split_at(SCOPE_BYTES);
+        let scope: String = scope.iter().map(|byte| format!("{byte:02x}")).collect();
+        Job(format!("{scope}/{id}"))
+    }
+
+    /// What decides on the partition of the job. All jobs of a workspace share one, so that its owner
+    /// knows all tokens that wait for the workspace.
+    pub(crate) fn partition_key(&self) -> &str {
+        self.0.split_once('/').map_or(&self.0, |(scope, _)| scope)
+    }
+}
+
+/// Bytes of the digest of a workspace's name in the ids of its jobs. Names of any length leave room
+/// for the job's own id in a key of the log.
+const SCOPE_BYTES: usize = 16;
+
 impl Process {
     /// `started` is the start of the process in Unix milliseconds.
     pub fn of(upstream: &Upstream, started: u64) -> Process {
--- a/serving/src/upstream/mod.rs
+++ b/serving/src/upstream/mod.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Uri};
+use http::{HeaderMap, Method, Uri, header::AUTHORIZATION};
 
 use crate::{
     balance::{Stated, limit::Rate},
@@ -98,6 +98,11 @@
     /// Returns all headers of the request to the upstream.
     fn encode(&self, request: &Request, options: Options<'_>) -> HeaderMap;
 
+    /// Removes the headers by which a request could name a workspace or present a key.
+    fn remove_identity(&self, headers: &mut HeaderMap) {
+        headers.remove(AUTHORIZATION);
+    }
+
     /// Reads the parts of the prompt from the headers of a request.
     fn read_prompt(&self, headers: &HeaderMap) -> Prompt;
 
--- a/serving/tests/jobs.rs
+++ b/serving/tests/jobs.rs
@@ -22,7 +22,7 @@
     exchange::Context,
     fleet::Entry,
     forward::Forwarders,
-    id::Job as JobId,
+    id::{Job as JobId, Workspace},
     log_store::{Partition, Producer, Store},
     metrics::Metrics,
     origins::Origins,
@@ -135,6 +135,7 @@
         accepted: Clock::default().wall_time().0,
         config: 0,
         items: (0..items).map(item).collect(),
+        workspace: None,
     }
 }
 
@@ -221,7 +222,7 @@
     /// Waits until this node owns the partition of job `a`, and returns the owner.
     async fn owner(&self) -> Handle {
         for _ in 0..500 {
-            if let Location::Here(handle) = self.group.locate("a") {
+            if let Location::Here(handle) = self.group.locate(&job("a")) {
                 return handle;
             }
             tokio::time::sleep(Duration::from_millis(10)).await;
@@ -343,7 +344,7 @@
         let id = job(&format!("job-{round}"));
         for attempt in 0..200 {
             assert!(attempt < 199, "{id} was never accepted");
-            let owner = nodes.iter().find_map(|node| match node.group.locate(&id.0) {
+            let owner = nodes.iter().find_map(|node| match node.group.locate(&id) {
                 Location::Here(handle) => Some(handle),
                 Location::Peer(_) | Location::Unknown => None,
             });
@@ -363,7 +364,7 @@
         found = 0;
         for node in &nodes {
             for id in &accepted {
-                let Location::Here(owner) = node.group.locate(&id.0) else { continue };
+                let Location::Here(owner) = node.group.locate(id) else { continue };
                 found += usize::from(matches!(
                     owner.read(id.clone(), 0, Millis(0)).await,
                     Ok(Some(page)) if page.total == 2
@@ -389,13 +390,45 @@
         tokio::time::sleep(Duration::from_millis(10)).await;
         first = owner.submit(job("a"), head(3)).await;
     }
-    let Location::Here(other) = node.group.locate("b") else {
+    let Location::Here(other) = node.group.locate(&job("b")) else {
         panic!("the node does not own all partitions")
     };
     let second = other.submit(job("b"), head(3)).await;
     assert_eq!((first, second), (Ok(Admission::Durable), Ok(Admission::OverQuota)));
 }
 
+/// Guards against a workspace that takes up the quota of another one or of callers without one, and
+/// against jobs of one id that are taken for the same in two workspaces.
+#[tokio::test]
+async fn each_workspace_has_its_own_jobs_and_quota() {
+    let log = Log::new(PARTITIONS);
+    let node = Node::start(&log, 1, 500);
+    node.owner().await;
+    let submit = async |workspace: &str, id: &str| {
+        let workspace = Some(Workspace::from(workspace)).filter(|name| !name.0.is_empty());
+        let id = JobId::scoped(workspace.as_ref(), id);
+        loop {
+            let Location::Here(owner) = node.group.locate(&id) else {
+                panic!("the node does not own all partitions")
+            };
+            let head = Head { workspace: workspace.clone(), ..head(3) };
+            let submitted = owner.submit(id.clone(), head).await;
+            if submitted != Err(Unavailable::NotAccepted) {
+                return submitted;
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    for workspace in ["one", "two", ""] {
+        assert_eq!(submit(workspace, "a").await, Ok(Admission::Durable));
+        assert_eq!(submit(workspace, "a").await, Ok(Admission::Durable), "submitted again");
+        assert_eq!(submit(workspace, "b").await, Ok(Admission::OverQuota), "{workspace}");
+    }
+    let reported: u64 =
+        node.group.reports().iter().flat_map(|(_, report)| report.waiting.values()).sum();
+    assert_eq!(reported, 300, "gossip holds only tokens of jobs without a workspace");
+}
+
 /// Guards against an item that counts as running for ever because the task that ran it panicked.
 #[tokio::test]
 async fn item_whose_run_panicked_is_run_again() {
@@ -419,7 +452,7 @@
         .into_iter()
         .find(|id| partition_for(id, PARTITIONS) != partition_for("a", PARTITIONS));
     let other = other.expect("a job in another partition");
-    let Location::Here(other_owner) = node.group.locate(other) else {
+    let Location::Here(other_owner) = node.group.locate(&job(other)) else {
         panic!("the node does not own all partitions")
     };
     let waiting = Head { path: "/idle/1".to_string(), ..head(50) };
@@ -503,7 +536,7 @@
     let other = Node::start(&log, 2, 0);
     eventually("both nodes own partitions", || owns_partitions(&owner) && owns_partitions(&other))
         .await;
-    let (owner, other) = match owner.group.locate("a") {
+    let (owner, other) = match owner.group.locate(&job("a")) {
         Location::Here(_) => (owner, other),
         Location::Peer(_) | Location::Unknown => (other, owner),
     };
--- a/serving/tests/ledger.rs
+++ b/serving/tests/ledger.rs
@@ -9,11 +9,11 @@
 use serving::{
     batch::{
         ledger::{AbandonReason, ItemId, Ledger, Progress, RunEnd},
-        record::{Head, Item, State},
+        record::{Head, Item, State, decode_head, encode_head},
     },
     catalog::{Catalog, Kind, Limits, Route, Share},
     fleet::Software,
-    id::Job as JobId,
+    id::{Job as JobId, Workspace},
     log_store::Record,
     time::Millis,
 };
@@ -39,6 +39,7 @@
         accepted: 1_000,
         config: 5,
         items: (0..items).map(item).collect(),
+        workspace: None,
     }
 }
 
@@ -298,3 +299,54 @@
     }
     assert_eq!(waiting(&ledger), Some(0));
 }
+
+/// The head of a job as nodes wrote it before jobs had workspaces.
+#[derive(Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+struct OldHead {
+    host: String,
+    path: String,
+    accepted: u64,
+    config: u64,
+    items: Vec<Item>,
+}
+
+impl OldHead {
+    fn of(head: Head) -> OldHead {
+        let Head { host, path, accepted, config, items, .. } = head;
+        OldHead { host, path, accepted, config, items }
+    }
+}
+
+/// Guards against jobs that are lost, or lose their workspace, while nodes of two releases run side by
+/// side.
+#[test]
+fn heads_are_read_by_older_and_newer_nodes() {
+    let old = postcard::to_stdvec(&OldHead::of(head(2))).unwrap();
+    for workspace in [None, Some(Workspace::from("one"))] {
+        let written = Head { workspace: workspace.clone(), ..head(2) };
+        let records = encode_head(&JobId::from("job"), &written, CHUNK_BYTES).unwrap();
+        let chunks: BTreeMap<u32, bytes::Bytes> =
+            (0..).zip(records.into_iter().map(|record| record.value.unwrap())).collect();
+        let encoded: Vec<u8> = chunks.values().flat_map(|chunk| chunk[4..].to_vec()).collect();
+        assert_eq!(encoded == old, workspace.is_none(), "heads without a workspace stay the same");
+        let read_by_old: OldHead = postcard::from_bytes(&encoded).unwrap();
+        assert_eq!(read_by_old, OldHead::of(head(2)));
+        assert_eq!(decode_head(&chunks), Some(Ok(written)));
+    }
+    let mut chunk = 0u32.to_be_bytes().to_vec();
+    chunk.extend(old);
+    assert_eq!(decode_head(&BTreeMap::from([(0, chunk.into())])), Some(Ok(head(2))));
+}
+
+/// Guards against a caller that names a job of another workspace by an id of its own.
+#[test]
+fn no_id_names_a_job_of_another_workspace() {
+    let (one, two) = (Workspace::from("one"), Workspace::from("two"));
+    let secret = JobId::scoped(Some(&one), "job");
+    assert_eq!(JobId::scoped(None, "job"), JobId::from("job"));
+    assert_ne!(JobId::scoped(Some(&two), "job"), secret);
+    for guess in ["job", "one/job", &secret.0, &secret.0[1..]] {
+        assert_ne!(JobId::scoped(None, guess), secret, "{guess}");
+        assert_ne!(JobId::scoped(Some(&two), guess), secret, "{guess}");
+    }
+}
