fix(node): wake requests that wait for the start when the lease is confirmed

The lease on keys is confirmed after the configuration is applied, so requests with keys waited until the end of the startup time where the registry was read first.

--- a/serving/src/node.rs
+++ b/serving/src/node.rs
@@ -11,7 +11,7 @@
 use tokio::sync::Notify;
 
 use crate::{
-    access::{self, Guard},
+    access::{self, Guard, lease::Reading},
     balance, catalog,
     catalog::Catalog,
     exchange, fleet,
@@ -111,6 +111,14 @@
         self.updated.notify_waiters();
     }
 
+    /// Records a read of the configuration's topic after its configurations were applied. Returns
+    /// whether it confirmed that nothing newer exists.
+    pub fn record_configuration_read(&self, reading: Reading) -> bool {
+        let is_confirmed = self.exchange.access.record(reading);
+        self.updated.notify_waiters();
+        is_confirmed
+    }
+
     /// Records that the registry was read successfully. Must be called before the changes from that
     /// read are applied.
     pub fn record_registry_read(&self) {
