feat(allowance): lend requests of a workspace from its owner

The limits of workspaces (`rate_per_s`, `burst`) were read and not applied. The node that owns the batch partition for a workspace's name now holds its token bucket and lends to the others by datagram; it lends only within the lease of its group membership (the membership's time to live less 200 ms, on CLOCK_BOOTTIME), so two nodes never lend at the same time. A node without an answer after 100 ms admits from a reserve that the owner never lends.

The parts of the budget add up: capacity + refill x (window + life of a grant) + reserve stay below the bound, with any number of owners in a window, because each starts with an empty bucket. Three decisions follow. A grant lives 500 ms instead of 1 s: with 1 s and no slack the owner would have to lend less than 0.9 of the rate. A new owner's empty bucket is refilled faster than the rate as far as the bound leaves room, so that small workspaces wait under a second. The fallback of rate / N a second was left out: the owner can't tell a node that is cut off from one that is idle, and the sum of both can exceed the bound. A node assumes 350 nodes until an owner has stated the number.

--- a/serving/src/access/directory.rs
+++ b/serving/src/access/directory.rs
@@ -85,6 +85,11 @@
     pub(super) fn find_digest(&self, key: KeyDigest) -> Option<&Arc<Member>> {
         self.members.get(&key)
     }
+
+    /// All workspaces, in no useful order. One with several keys occurs once for each.
+    pub fn members(&self) -> impl Iterator<Item = &Arc<Member>> {
+        self.members.values()
+    }
 }
 
 fn digest(key: &str) -> KeyDigest {
--- /dev/null
+++ b/serving/src/allowance/mod.rs
@@ -0,0 +1,30 @@
+//! Rate limits of workspaces over all nodes together.
+//!
+//! For each workspace one node, the owner, lends allowance for single requests to the others. It is
+//! the node that owns the batch partition for the workspace's name, and it lends only while the log
+//! has recently confirmed that ownership. A node that gets no answer from the owner admits a few
+//! requests from a reserve that the owner never lends.
+//!
+//! * `budget` divides what a limit and its tolerance allow between the owner and the reserve.
+//! * `bucket` is the owner's account of one workspace.
+//! * `holder` is what one node knows of one workspace: grants, waiting requests and the reserve.
+//! * `lease` is the time for which a node may lend as the owner of a partition.
+//! * `state` decides with these, and does no I/O.
+//! * `message` defines the datagrams.
+//! * `task` sends and receives them, and wakes the requests that wait.
+
+mod bucket;
+mod budget;
+mod holder;
+mod lease;
+mod message;
+mod settings;
+mod state;
+mod task;
+
+pub use budget::{Budget, Limit};
+pub use lease::Lease;
+pub use message::{Answer, Ask, AskId, Datagram, Result, Verdict};
+pub use settings::Settings;
+pub use state::{Action, Decision, Lender, Permit, Reason, Source, State, Taken, Ticket};
+pub use task::{Allowance, run};
--- a/serving/src/batch/directory.rs
+++ b/serving/src/batch/directory.rs
@@ -9,7 +9,11 @@
 use tokio::task::AbortHandle;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::id::Job;
+use crate::{
+    allowance::{Lease, Lender},
+    id::{Job, Workspace},
+    time::Millis,
+};
 
 use super::{
     owner::{Handle, Verification},
@@ -33,6 +37,7 @@
     pub(super) epoch: u64,
     pub(super) task: AbortHandle,
     pub(super) verification: Verification,
+    pub(super) lease: Lease,
 }
 
 /// The local and remote owners, and the state of this node in the group.
@@ -80,6 +85,21 @@
             .map_or(Location::Unknown, |(_, address)| Location::Peer(*address))
     }
 
+    /// Returns which node lends the allowance of a workspace at the time `now` of
+    /// `CLOCK_BOOTTIME`: the owner of the partition for its name.
+    pub(super) fn lender(&self, workspace: &Workspace, now: Millis) -> Lender {
+        let number = partition_for(&workspace.0, self.partitions);
+        let table = self.lock();
+        match (table.owned.get(&number), table.remote_owners.get(&number)) {
+            (Some(owned), _) => {
+                let since = owned.lease.held_since(now);
+                since.map_or(Lender::Unknown, |since| Lender::Here { since })
+            }
+            (None, Some((_, address))) => Lender::Peer(*address),
+            (None, None) => Lender::Unknown,
+        }
+    }
+
     /// Returns the partitions that this node owns, each with its report.
     pub(super) fn reports(&self) -> Vec<(u16, Report)> {
         let owned: Vec<(u16, u64)> =
--- a/serving/src/batch/group.rs
+++ b/serving/src/batch/group.rs
@@ -8,9 +8,10 @@
 use tokio::time::{sleep, timeout};
 
 use crate::{
+    allowance::{Lease, Lender},
     catalog,
     exchange::Context,
-    id::Job,
+    id::{Job, Workspace},
     log_store::{self, Partition},
     time::{Clock, Millis},
     upstream::Pool,
@@ -33,6 +34,9 @@
 /// Epochs per generation of the group. An epoch is the generation times this, plus a count of
 /// owners started at this node, so that each start of an owner fences the one before.
 const STARTS_PER_GENERATION: u64 = 1 << 10;
+/// Subtracted from the time to live of the membership to obtain the time for which this node lends
+/// allowance, to allow for clocks that differ in speed.
+const LEASE_MARGIN: Millis = Millis(200);
 /// How long an owner may take to save its progress; a slow log answers within half this time.
 const RELEASE_TIMEOUT: Millis = Millis(800);
 /// Number of membership renewals after which the owners of all partitions are looked up again,
@@ -104,6 +108,12 @@
         self.directory.locate_job(job)
     }
 
+    /// Returns which node lends the allowance of a workspace at the time `now` of
+    /// `CLOCK_BOOTTIME`. Peers are given by their gossip addresses.
+    pub fn lender(&self, workspace: &Workspace, now: Millis) -> Lender {
+        self.directory.lender(workspace, now)
+    }
+
     /// Returns the partitions that this node owns, each with its report, to send to other nodes.
     pub fn reports(&self) -> Vec<(u16, Report)> {
         self.directory.reports()
@@ -151,6 +161,7 @@
             }
             let ttl = Millis(settings.membership_ms);
             let requested_at = self.dependencies.context.clock.now();
+            let lease_until = self.dependencies.context.clock.boot_time() + ttl - LEASE_MARGIN;
             let joined =
                 self.dependencies.store.join(GROUP, &self.member, TOPIC, generation, ttl).await;
             match joined {
@@ -159,7 +170,7 @@
                     let lost = self.remove_lost(&assignment);
                     let has_lost = !lost.is_empty();
                     release_owners(lost).await;
-                    self.start_assigned(&assignment, requested_at);
+                    self.start_assigned(&assignment, requested_at, lease_until);
                     if has_lost || changed {
                         // The group assigns released partitions to others at the next renewal.
                         round = 0;
@@ -253,20 +264,30 @@
     }
 
     /// Starts owners of the assigned partitions that have none running. The assignment was valid
-    /// at `requested_at`.
-    fn start_assigned(&self, assignment: &log_store::Assignment, requested_at: Millis) {
+    /// at `requested_at`. No other node is assigned these partitions until `lease_until`, a time of
+    /// `CLOCK_BOOTTIME`.
+    fn start_assigned(
+        &self,
+        assignment: &log_store::Assignment,
+        requested_at: Millis,
+        lease_until: Millis,
+    ) {
+        let boot_time = self.dependencies.context.clock.boot_time();
         let mut table = self.directory.lock();
         if table.has_left {
             return;
         }
         table.generation = assignment.generation;
         for number in &assignment.partitions {
-            if let Some(owned) = table.owned.get(number)
-                && !owned.task.is_finished()
-            {
-                owned.verification.set(requested_at);
-                continue;
+            if let Some(owned) = table.owned.get_mut(number) {
+                owned.lease.renew(boot_time, lease_until);
+                if !owned.task.is_finished() {
+                    owned.verification.set(requested_at);
+                    continue;
+                }
             }
+            let previous = table.owned.get(number).map(|owned| owned.lease);
+            let lease = previous.unwrap_or(Lease::new(boot_time, lease_until));
             table.owner_starts = (table.owner_starts + 1) % STARTS_PER_GENERATION;
             let epoch = assignment.generation * STARTS_PER_GENERATION + table.owner_starts;
             let partition = Partition { topic: TOPIC.to_string(), number: *number };
@@ -274,7 +295,7 @@
             verification.set(requested_at);
             let (handle, task) =
                 owner::start(self.dependencies.clone(), partition, epoch, verification.clone());
-            table.owned.insert(*number, LocalOwner { handle, epoch, task, verification });
+            table.owned.insert(*number, LocalOwner { handle, epoch, task, verification, lease });
         }
     }
 
--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -7,6 +7,7 @@
 //! and supplies the registered upstreams and the configuration.
 
 pub mod access;
+pub mod allowance;
 pub mod balance;
 pub mod batch;
 
--- a/serving/src/metrics.rs
+++ b/serving/src/metrics.rs
@@ -52,6 +52,8 @@
     pub log_calls: Family<Labels, Counter>,
     /// Batch events, such as accepted jobs and finished items, by kind of object and outcome.
     pub batch_events: Family<Labels, Counter>,
+    /// Decisions on requests by the limits of their workspaces, by outcome.
+    pub allowance: Family<Labels, Counter>,
     /// Seconds from the arrival of a request to the first byte of its response.
     pub time_to_first_byte: Histogram,
     /// Seconds from the arrival of a request to its end.
@@ -109,6 +111,12 @@
         registry.register("log_calls", "Calls to the log service", log_calls.clone());
         let batch_events = Family::default();
         registry.register("batch_events", "Events of batch jobs", batch_events.clone());
+        let allowance = Family::default();
+        registry.register(
+            "allowance",
+            "Decisions on requests by the limits of workspaces",
+            allowance.clone(),
+        );
         let time_to_first_byte = Histogram::new(LATENCY_BUCKETS_S);
         registry.register(
             "first_answer_seconds",
@@ -147,6 +155,7 @@
             key_age,
             log_calls,
             batch_events,
+            allowance,
             time_to_first_byte,
             time_to_last_byte,
             event_pause,
