fix(origins): withdraw an announced version before a request moves to another one

Callers got a stream with event 1 of one version and the rest of another: a node announced the version that a request was sent to, the request then moved to another version before its first event, and the node was killed, or the caller resumed elsewhere, before the new announcement arrived. The same happened when a silent upstream answered after a successor of another version was asked. The node that got the resume still held the announced version.

A request that was announced prefers upstreams of that version. Before it is sent to another one, every node that was sent the announcement drops it and confirms that by datagram (again after 30 ms, for at most 100 ms); until all have, only the announced version may bring the first event, and the request ends as failed or refused if it has none. After a withdrawal, the version is announced with the first event. Announcements that never went out need no confirmation. Older nodes don't confirm: they log the unknown datagram, and the request stays at its version.

--- a/serving/src/batch/run.rs
+++ b/serving/src/batch/run.rs
@@ -100,6 +100,7 @@
                     // The send itself reports these.
                     FailureKind::Connect
                     | FailureKind::NoPath
+                    | FailureKind::Announced
                     | FailureKind::Overloaded
                     | FailureKind::Misdirected => None,
                 };
--- a/serving/src/exchange/driver.rs
+++ b/serving/src/exchange/driver.rs
@@ -16,7 +16,7 @@
     quarantine::{Fingerprint, Status},
     time::Millis,
     uplink::{Sign, check_path},
-    upstream::{self, Body, Failure},
+    upstream::{self, Body, Failure, FailureKind},
 };
 
 use super::{
@@ -116,6 +116,9 @@
     /// event.
     version: Option<Version>,
     origin: origin::Record,
+    /// Whether other nodes failed to confirm that the request may move to another version. It isn't
+    /// tried again.
+    is_bound: bool,
     /// The run on which the caller's answer depends. `None` until the request is sent, and after a
     /// failed send.
     current: Option<Run>,
@@ -147,6 +150,7 @@
             status,
             version,
             origin: origin::Record::default(),
+            is_bound: false,
             current: None,
             successor: None,
             held: None,
@@ -302,6 +306,7 @@
         let permit = &current.permit;
         self.context.count_failure(&permit.pick, &failure);
         report_crash(&self.context, &self.routed, self.fingerprint, permit, &failure);
+        self.is_bound |= failure.kind == FailureKind::Announced;
         let now = self.context.clock.now();
         if let Some(forwarder) = current.forwarder {
             self.context.forwarders.record_failure(now, forwarder);
@@ -350,6 +355,7 @@
                 failure
             }
         };
+        self.is_bound |= failure.kind == FailureKind::Announced;
         self.trace.record_failure(&successor.permit, &failure.message);
         self.state.record_successor_failure(&successor.permit.pick.upstream, &failure);
         end_run(successor.permit, state::health_outcome(&failure));
@@ -459,23 +465,50 @@
         }
         let objective = self.routed.route.latency_objective;
         let service = &self.routed.service;
-        let version = self.version.as_ref();
-        self.context.choose(service, Class::Online, &self.state.excluded, version, objective)
+        let choose = |version| {
+            let excluded = &self.state.excluded;
+            self.context.choose(service, Class::Online, excluded, version, objective)
+        };
+        if self.version.is_some() {
+            return choose(self.version.as_ref());
+        }
+        let bound = self.origin.bound_version(&self.context);
+        match (choose(bound), bound) {
+            (Err(_), Some(bound)) if !self.is_bound && self.has_other_version(bound) => {
+                choose(None)
+            }
+            (choice, _) => choice,
+        }
+    }
+
+    /// Whether the service has upstreams of another version than `version`.
+    fn has_other_version(&self, version: &Version) -> bool {
+        let fleet = self.context.fleet();
+        let mut entries = fleet.entries().values();
+        entries.any(|entry| entry.service == self.routed.service && entry.version != *version)
     }
 
     /// Sends the request to the upstream of `permit`.
     fn send(&mut self, permit: &Permit) -> Sending {
         self.state.record_send();
         self.trace.record_send(permit);
+        let version = &permit.pick.version;
         if !self.state.has_begun() {
-            self.record_origin(&permit.pick.version);
+            let deadline = self.state.deadline();
+            self.origin.propose(&self.context, &self.routed, version, deadline);
         }
+        let to_withdraw = self.origin.to_withdraw(&self.context, version);
         let (context, routed) = (Arc::clone(&self.context), Arc::clone(&self.routed));
         let pick = permit.pick.clone();
         let remaining = (self.state.deadline() - context.clock.now()).duration();
         let resume_after = self.state.resume_after();
         let is_retryable = self.state.is_retryable();
         Box::pin(async move {
+            if let Some(request) = to_withdraw
+                && !context.origins.withdraw(request).await
+            {
+                return Err(Failure::announced());
+            }
             let options = upstream::Options {
                 upstream: &pick.upstream,
                 deadline: Some(remaining),
@@ -503,15 +536,12 @@
         let Some(current) = &self.current else { return };
         if self.version.is_none() {
             let version = current.permit.pick.version.clone();
-            self.record_origin(&version);
+            let deadline = self.state.deadline();
+            self.origin.settle(&self.context, &self.routed, &version, deadline);
             self.version = Some(version);
         }
     }
 
-    fn record_origin(&mut self, version: &Version) {
-        self.origin.update(&self.context, &self.routed, version, self.state.deadline());
-    }
-
     /// Replaces the current run.
     fn set_current(&mut self, permit: Permit, source: Source) {
         self.current = Some(Run { permit, source, is_silent: false, forwarder: None });
--- a/serving/src/exchange/origin.rs
+++ b/serving/src/exchange/origin.rs
@@ -53,49 +53,81 @@
     Ok(Some(software.version))
 }
 
-/// The origin of a stream as this node has recorded it.
+/// What other nodes may have learned about the origin of a stream from this request.
 #[derive(Debug, Default)]
-pub(super) struct Record(Option<Origin>);
+pub(super) enum Record {
+    /// Nothing: the request wasn't sent, or its origin isn't recorded.
+    #[default]
+    None,
+    /// The version that the request is sent to before its first event. Another version may bring the
+    /// first event only after a withdrawal.
+    Proposed(Digest, Version),
+    /// The origin can't change any more.
+    Final,
+}
 
 impl Record {
-    /// Records the software that the request is sent to, or that brought the first event of its
-    /// stream. A stream that is resumed keeps its origin, under the request that began it.
-    pub(super) fn update(
+    /// Records the software that the request is sent to before its first event. A stream that is
+    /// resumed keeps its origin, under the request that began it.
+    pub(super) fn propose(
         &mut self,
         context: &Context,
         routed: &RoutedRequest,
         version: &Version,
         deadline: Millis,
     ) {
-        if routed.route.kind != (Kind::Stream { resumable: true }) {
-            return;
-        }
+        let (Record::None, Some(request)) = (&*self, recorded_request(routed)) else { return };
+        let now = context.clock.now();
         let software = Software { service: routed.service.clone(), version: version.clone() };
-        if self.0.as_ref().is_some_and(|origin| origin.software == software) {
-            return;
+        let mut origins = context.origins.state();
+        if is_resume(routed) {
+            let revision = origins.find(now, request).map_or(0, |known| known.revision);
+            origins.record(now, request, Origin { software, revision }, deadline);
+            *self = Record::Final;
+        } else {
+            origins.propose(now, request, software, deadline);
+            *self = Record::Proposed(request, version.clone());
         }
+    }
+
+    /// Records that `version` has brought the first event.
+    pub(super) fn settle(
+        &mut self,
+        context: &Context,
+        routed: &RoutedRequest,
+        version: &Version,
+        deadline: Millis,
+    ) {
+        let Record::Proposed(request, _) = std::mem::replace(self, Record::Final) else { return };
         let now = context.clock.now();
-        let is_resume = is_resume(routed);
-        let id = match &routed.resumes {
-            Some(first) if is_resume => first,
-            _ if is_resume => return,
-            _ => &routed.request.id,
-        };
-        // Resumes that don't name their first request are looked up under the empty id.
-        if id.is_empty() {
-            return;
-        }
-        let request = Digest::of(id);
-        let mut origins = context.origins.state();
-        let revision = match (origins.find(now, request), is_resume) {
-            (Some(known), true) => known.revision,
-            (Some(known), false) => known.revision + 1,
-            (None, _) => 0,
-        };
-        let origin = Origin { software, revision };
-        origins.record(now, request, origin.clone(), deadline);
-        self.0 = Some(origin);
+        let software = Software { service: routed.service.clone(), version: version.clone() };
+        context.origins.state().settle(now, request, software, deadline);
     }
+
+    /// The only version that may bring the first event. `None` stands for any version.
+    pub(super) fn bound_version(&self, context: &Context) -> Option<&Version> {
+        let Record::Proposed(request, version) = self else { return None };
+        (!context.origins.state().is_withdrawn(*request)).then_some(version)
+    }
+
+    /// The request whose origin must be withdrawn before it is sent to `version`.
+    pub(super) fn to_withdraw(&self, context: &Context, version: &Version) -> Option<Digest> {
+        let Record::Proposed(request, _) = self else { return None };
+        self.bound_version(context).filter(|bound| *bound != version).map(|_| *request)
+    }
+}
+
+/// The request under whose id the origin is recorded, if it is.
+fn recorded_request(routed: &RoutedRequest) -> Option<Digest> {
+    if routed.route.kind != (Kind::Stream { resumable: true }) {
+        return None;
+    }
+    let id = match is_resume(routed) {
+        true => routed.resumes.as_ref()?,
+        false => &routed.request.id,
+    };
+    // Resumes that don't name their first request are looked up under the empty id.
+    (!id.is_empty()).then(|| Digest::of(id))
 }
 
 fn is_resume(routed: &RoutedRequest) -> bool {
--- a/serving/src/origins/message.rs
+++ b/serving/src/origins/message.rs
@@ -1,4 +1,5 @@
-//! The datagrams by which nodes ask each other for the origin of a stream, encoded with postcard.
+//! The datagrams by which nodes ask each other for the origin of a stream or withdraw one, encoded
+//! with postcard.
 
 use serde::{Deserialize, Serialize};
 
@@ -20,6 +21,11 @@
     /// The sender doesn't know the origin. `only_version` is the version of all upstreams that the
     /// service has had for the lifetime of a stream, if that was a single one.
     Unknown { request: Digest, only_version: Option<Version> },
+    /// The request may move to other software: the receiver drops what it knows of its origin
+    /// before `revision`, and confirms that. Nodes that don't know this datagram ignore it.
+    Withdraw { request: Digest, revision: u32, remaining: Millis },
+    /// Confirms a withdrawal.
+    Withdrawn { request: Digest, revision: u32 },
 }
 
 impl Datagram {
--- a/serving/src/origins/mod.rs
+++ b/serving/src/origins/mod.rs
@@ -3,6 +3,10 @@
 //! A node announces the software of the streams that it sends with its gossip, so that the other
 //! nodes know it when the node is gone. A node that doesn't know it asks the others.
 //!
+//! The announcement precedes the first event, so the software may still change. Before a request that
+//! was announced moves to another version, every node that may hold the announcement confirms that
+//! it has dropped it.
+//!
 //! * `state` holds what is known and what to announce.
 //! * `message` are the questions that nodes ask each other, and the replies.
 //! * `task` asks and replies.
@@ -12,5 +16,5 @@
 mod task;
 
 pub use message::{Datagram, Result};
-pub use state::{Announcement, Digest, News, Origin, State};
+pub use state::{Announcement, Digest, News, Origin, State, Withdrawal};
 pub use task::{Origins, run};
--- a/serving/src/peers/task.rs
+++ b/serving/src/peers/task.rs
@@ -54,14 +54,8 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn build_message(
-        &self,
-        sequence: u64,
-        update: Update,
-        introductions: Vec<SocketAddr>,
-        data_centres: Vec<DataCentreDigest>,
-        now: Millis,
-    ) -> Message {
+    fn build_message(&self, sequence: u64, update: Update, round: Round, now: Millis) -> Message {
+        let Round { recipients, introductions, data_centres } = round;
         let (loads, owned) = update;
         let (health, can_forward) = {
             let uplink = self.context.uplink();
@@ -85,7 +79,7 @@
             peers: introductions,
             suspects: self.context.quarantine().most_crashes(now, MAX_SUSPECTS),
             leaving: false,
-            news: self.context.origins.state().take_news(now),
+            news: self.context.origins.state().take_news(now, &recipients),
             parts: self.context.parts().take_report(now),
             limits,
             data_centre: self.data_centre,
@@ -137,9 +131,9 @@
         }
         sequence += 1;
         last_update = update.clone();
-        let Round { recipients, introductions, data_centres } =
-            gossip.state().start_round(now, !update.1.is_empty());
-        let message = gossip.build_message(sequence, update, introductions, data_centres, now);
+        let round = gossip.state().start_round(now, !update.1.is_empty());
+        let recipients = round.recipients.clone();
+        let message = gossip.build_message(sequence, update, round, now);
         send(&socket, &message, recipients).await;
     }
 }
--- a/serving/src/upstream/call.rs
+++ b/serving/src/upstream/call.rs
@@ -40,6 +40,9 @@
     Connect,
     /// This node has no path to the upstream at the moment, which says nothing of the upstream.
     NoPath,
+    /// The request may not move to the version of this upstream, because other nodes may still hold
+    /// the version that it was announced with.
+    Announced,
     /// The upstream rejected the request for lack of capacity.
     Overloaded,
     /// The address now belongs to another upstream.
@@ -55,6 +58,7 @@
         f.write_str(match self {
             FailureKind::Connect => "connect",
             FailureKind::NoPath => "no_path",
+            FailureKind::Announced => "announced",
             FailureKind::Overloaded => "overloaded",
             FailureKind::Misdirected => "misdirected",
             FailureKind::TimedOut => "timed_out",
@@ -84,6 +88,12 @@
         Failure { kind: FailureKind::NoPath, delivery: Delivery::NotSent, message }
     }
 
+    /// Not all nodes confirmed that the request may move to another version.
+    pub(crate) fn announced() -> Failure {
+        let message = "not all nodes dropped the announced version".to_string();
+        Failure { kind: FailureKind::Announced, delivery: Delivery::NotSent, message }
+    }
+
     /// The upstream responded that it did not run the request.
     fn refused(kind: FailureKind, message: &str) -> Failure {
         Failure { kind, delivery: Delivery::Refused, message: message.to_string() }
--- a/serving/tests/malformed.rs
+++ b/serving/tests/malformed.rs
@@ -195,7 +195,7 @@
         self.quarantine.most_crashes(now, 12);
         self.parts.take_report(now);
         self.parts.remaining_block(now, &Prompt::new([Part(1), Part(2)]));
-        self.origins.take_news(now);
+        self.origins.take_news(now, &[]);
     }
 }
 
