feat(allowance): refuse the workspaces above their share first while upstreams are short

While all slots of a service were taken, the requests of all workspaces were refused by chance. The answers of owners now state a workspace's demand relative to its limit; from 0.9 requests for each slot on, requests of workspaces clearly above the mean of all pass with a falling probability (503, not run). The priority of a workspace, then that of the route, counts as higher usage. Workspaces without a limit and deployments without workspaces are not affected.

Tried first and dropped: a common level of usage that falls while the upstreams are short.

--- a/serving/src/allowance/bucket.rs
+++ b/serving/src/allowance/bucket.rs
@@ -4,8 +4,12 @@
 
 use super::{Budget, Limit};
 
-/// Time constant of the mean demand, in seconds.
-const DEMAND_TIME_S: f64 = 2.0;
+/// Shortest time constant of the mean demand, in seconds. Longer than the bursts of a few seconds
+/// that all workspaces have.
+const DEMAND_TIME_S: f64 = 8.0;
+/// Requests at the limit within the time constant, at least. With fewer, random arrivals would make
+/// a small workspace look as if it used several times its limit.
+const DEMAND_REQUESTS: f64 = 32.0;
 /// The longest time that callers are told to wait.
 const MAX_RETRY: Millis = Millis(5_000);
 
@@ -21,8 +25,8 @@
     was_full: bool,
     /// Callers that were told when to come back and for whom there was no room before.
     returning: f64,
-    /// Requests a second that nodes asked for, granted or not.
-    demand_per_s: f64,
+    /// Requests that nodes got, refused ones included, decayed with `demand_time_s`.
+    demand: f64,
 }
 
 impl Bucket {
@@ -35,7 +39,7 @@
             filled_at: opened_at,
             was_full: false,
             returning: 0.0,
-            demand_per_s: 0.0,
+            demand: 0.0,
         }
     }
 
@@ -50,19 +54,20 @@
         self.was_full |= level >= budget.capacity;
         self.level = level.min(budget.capacity);
         self.returning = (self.returning - budget.refill_per_s * elapsed_s).max(0.0);
-        self.demand_per_s *= (-elapsed_s / DEMAND_TIME_S).exp();
+        self.demand *= (-elapsed_s / demand_time_s(budget.rate_per_s)).exp();
     }
 
-    /// Lends up to `count` requests and returns how many. If there is room for none, returns the
+    /// Lends up to `count` requests to a node that got `requests`, and returns how many. If there is room for none, returns the
     /// time until there is, after the callers that have already been told to come back.
     pub(super) fn lend(
         &mut self,
         now: Millis,
         budget: &Budget,
         count: u32,
+        requests: u32,
     ) -> std::result::Result<u32, Millis> {
         self.fill(now, budget);
-        self.demand_per_s += f64::from(count) / DEMAND_TIME_S;
+        self.demand += f64::from(requests);
         let lent = self.level.floor().min(f64::from(count)).max(0.0);
         if lent >= 1.0 {
             self.level -= lent;
@@ -79,6 +84,11 @@
 
     /// The demand relative to the limit.
     pub(super) fn usage(&self, limit: Limit) -> f64 {
-        self.demand_per_s / limit.rate_per_s.max(f64::MIN_POSITIVE)
+        self.demand / (demand_time_s(limit.rate_per_s) * limit.rate_per_s).max(f64::MIN_POSITIVE)
     }
 }
+
+/// Time constant of the mean demand of a workspace with this limit.
+fn demand_time_s(rate_per_s: f64) -> f64 {
+    DEMAND_TIME_S.max(DEMAND_REQUESTS / rate_per_s.max(f64::MIN_POSITIVE))
+}
--- a/serving/src/allowance/budget.rs
+++ b/serving/src/allowance/budget.rs
@@ -49,6 +49,8 @@
 /// because at most one of them may lend at a time and each starts with an empty bucket.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Budget {
+    /// The configured rate.
+    pub rate_per_s: f64,
     /// Requests that the owner's bucket holds at most.
     pub capacity: f64,
     /// Requests a second that are added to the bucket while it has not been full since its owner
@@ -77,6 +79,6 @@
         let capacity = (lendable - limit.rate_per_s * horizon_s).clamp(least, most).max(1.0);
         let first_refill_per_s = ((lendable - capacity) / horizon_s).max(0.0);
         let refill_per_s = first_refill_per_s.min(limit.rate_per_s);
-        Budget { capacity, first_refill_per_s, refill_per_s, reserve }
+        Budget { rate_per_s: limit.rate_per_s, capacity, first_refill_per_s, refill_per_s, reserve }
     }
 }
--- a/serving/src/allowance/holder.rs
+++ b/serving/src/allowance/holder.rs
@@ -75,6 +75,8 @@
     /// Requests a second, refused ones included.
     demand_per_s: f64,
     observed_at: Millis,
+    /// Requests that the owner has not been told of.
+    unreported: u32,
     refusal: Option<Refusal>,
     reserve: Option<Reserve>,
     /// The ask that further requests may wait for.
@@ -94,6 +96,12 @@
         self.demand_per_s *= (-elapsed_s / DEMAND_TIME_S).exp();
         self.demand_per_s += 1.0 / DEMAND_TIME_S;
         self.observed_at = now;
+        self.unreported = self.unreported.saturating_add(1);
+    }
+
+    /// Number of requests to tell the owner of.
+    pub(super) fn take_unreported(&mut self) -> u32 {
+        std::mem::take(&mut self.unreported)
     }
 
     /// Number of requests to ask for when one has come that no grant covers.
--- a/serving/src/allowance/message.rs
+++ b/serving/src/allowance/message.rs
@@ -28,6 +28,8 @@
     pub workspace: Workspace,
     /// Requests that the sender wants to admit. At least 1.
     pub count: u32,
+    /// Requests that the sender has got since its last ask, refused ones included.
+    pub requests: u32,
     /// The limit as the sender knows it, for an owner that doesn't know the workspace yet.
     pub rate_per_s: f32,
     pub burst: f32,
--- a/serving/src/allowance/mod.rs
+++ b/serving/src/allowance/mod.rs
@@ -9,6 +9,7 @@
 //! * `bucket` is the owner's account of one workspace.
 //! * `holder` is what one node knows of one workspace: grants, waiting requests and the reserve.
 //! * `lease` is the time for which a node may lend as the owner of a partition.
+//! * `share` decides which workspaces are refused while upstreams are short.
 //! * `state` decides with these, and does no I/O.
 //! * `message` defines the datagrams.
 //! * `task` sends and receives them, and wakes the requests that wait.
@@ -19,6 +20,7 @@
 mod lease;
 mod message;
 mod settings;
+pub mod share;
 mod state;
 mod task;
 
--- a/serving/src/allowance/state.rs
+++ b/serving/src/allowance/state.rs
@@ -274,7 +274,7 @@
         };
         let asked = Limit { rate_per_s: f64::from(ask.rate_per_s), burst: f64::from(ask.burst) };
         let limit = self.limits.get(&ask.workspace).copied().unwrap_or(asked);
-        let (lent, usage) = self.lend(now, &ask.workspace, limit, since, ask.count);
+        let (lent, usage) = self.lend(now, &ask.workspace, limit, since, (ask.count, ask.requests));
         let verdict = match lent {
             Ok(count) => Verdict::Lent(count),
             Err(retry_after) => Verdict::Full { retry_after },
@@ -365,7 +365,9 @@
     ) -> Decision {
         self.record_stated(now, self.nodes_to_state(now));
         let limit = self.limits.get(workspace).copied().unwrap_or(limit);
-        let (lent, usage) = self.lend(now, workspace, limit, since, 1);
+        let holder = self.holders.entry(workspace.clone()).or_default();
+        let requests = holder.take_unreported();
+        let (lent, usage) = self.lend(now, workspace, limit, since, (1, requests));
         let holder = self.holders.entry(workspace.clone()).or_default();
         holder.usage = usage;
         match lent {
@@ -381,21 +383,21 @@
         }
     }
 
-    /// Lends up to `count` requests of a workspace, and returns its usage as well.
+    /// Lends up to `count` requests of a workspace to a node that got `requests`, and returns its usage as well.
     fn lend(
         &mut self,
         now: Millis,
         workspace: &Workspace,
         limit: Limit,
         since: Millis,
-        count: u32,
+        (count, requests): (u32, u32),
     ) -> (std::result::Result<u32, Millis>, f64) {
         let bucket = self.buckets.entry(workspace.clone()).or_insert_with(|| Bucket::new(since));
         if bucket.opened_at != since {
             *bucket = Bucket::new(since);
         }
         let budget = Budget::new(limit, &self.settings);
-        let lent = bucket.lend(now, &budget, count);
+        let lent = bucket.lend(now, &budget, count, requests);
         (lent, bucket.usage(limit))
     }
 
@@ -423,6 +425,7 @@
             id,
             workspace: workspace.clone(),
             count: holder.count_to_ask(),
+            requests: holder.take_unreported(),
             rate_per_s: limit.rate_per_s as f32,
             burst: limit.burst as f32,
         };
--- a/serving/src/allowance/task.rs
+++ b/serving/src/allowance/task.rs
@@ -15,14 +15,16 @@
 
 use crate::{
     access::Member,
+    balance::Load,
     catalog,
-    id::Workspace,
+    id::{Service, Workspace},
     metrics::Metrics,
     time::{Clock, Millis},
 };
 
 use super::{
     Action, Datagram, Decision, Lender, Permit, Settings, Source, State, Taken, Ticket,
+    share::{self, Claim},
     state::Reason,
 };
 
@@ -39,6 +41,7 @@
 /// The state, and the requests that wait for its decisions.
 struct Inner {
     state: State,
+    shares: share::State,
     waiters: BTreeMap<Ticket, oneshot::Sender<Decision>>,
 }
 
@@ -64,11 +67,12 @@
     ) -> Allowance {
         let (outgoing_tx, outgoing_rx) = mpsc::channel(MAX_OUTGOING);
         let state = State::new(settings, clock.boot_time(), seed);
+        let shares = share::State::new(seed);
         Allowance {
             clock,
             metrics,
             locate: Box::new(locate),
-            inner: Mutex::new(Inner { state, waiters: BTreeMap::new() }),
+            inner: Mutex::new(Inner { state, shares, waiters: BTreeMap::new() }),
             outgoing_tx,
             outgoing_rx: Mutex::new(Some(outgoing_rx)),
         }
@@ -105,6 +109,33 @@
         decision
     }
 
+    /// Whether a request for `service` may be sent although its upstreams may be short. `occupancy`
+    /// returns the requests in flight there and the slots.
+    pub fn has_share(
+        &self,
+        member: &Member,
+        service: &Service,
+        route_priority: u32,
+        occupancy: impl FnOnce() -> (Load, u32),
+    ) -> bool {
+        let now = self.clock.boot_time();
+        let needs_occupancy = self.inner().shares.needs_occupancy(now, service);
+        // The lock is not held while another one is taken.
+        let observed = needs_occupancy.then(occupancy);
+        let mut inner = self.inner();
+        if let Some((load, slots)) = observed {
+            inner.shares.observe(now, service, load, slots);
+        }
+        let usage = inner.state.usage(&member.workspace);
+        let claim = Claim { usage, workspace_priority: member.priority, route_priority };
+        let is_admitted = inner.shares.admit(now, service, claim);
+        drop(inner);
+        if !is_admitted {
+            self.metrics.count(&self.metrics.allowance, "request", "share");
+        }
+        is_admitted
+    }
+
     /// Returns the permit of a request that was not sent.
     pub fn restore(&self, permit: Permit) {
         self.inner().state.restore(self.clock.boot_time(), permit);
@@ -210,6 +241,7 @@
     let mut inner = allowance.inner();
     inner.state.set_nodes(now, nodes as u32);
     inner.state.clean_up(now);
+    inner.shares.clean_up(now);
     let Some(catalog) = catalog.current() else { return };
     if version.replace(catalog.version) != Some(catalog.version) {
         let members = catalog.workspaces.as_ref().map(|directory| directory.members());
--- a/serving/tests/allowance.rs
+++ b/serving/tests/allowance.rs
@@ -520,7 +520,14 @@
     let member = member(10.0, 10.0);
     let mut owner = State::new(SLACK, Millis(0), 1);
     let here = Lender::Here { since: Millis(0) };
-    let ask = Ask { id: AskId(1), workspace: "w".into(), count: 3, rate_per_s: 10.0, burst: 10.0 };
+    let ask = Ask {
+        id: AskId(1),
+        workspace: "w".into(),
+        count: 3,
+        requests: 3,
+        rate_per_s: 10.0,
+        burst: 10.0,
+    };
     let first = owner.answer(Millis(10_000), address(2), &ask, here);
     assert_eq!(first.verdict, Verdict::Lent(3));
     assert_eq!(owner.answer(Millis(10_030), address(2), &ask, here), first);
