feat(access): nodes accept relayed calls and forwarded requests only with a token

With workspaces, anybody who reached the ports between nodes could run requests and read jobs in the name of any workspace.

Without keys there is no token that outsiders can't derive, so nothing is accepted. Without workspaces no byte changes.

Tried first: the token before for 3 s after a change. A node that catches up over several versions then signed with a token that nobody accepts; the test for that failed, and requests now state both.

--- a/serving/src/access/directory.rs
+++ b/serving/src/access/directory.rs
@@ -16,6 +16,12 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct KeyDigest([u8; 32]);
 
+impl KeyDigest {
+    pub(super) fn bytes(&self) -> &[u8] {
+        &self.0
+    }
+}
+
 impl fmt::Debug for KeyDigest {
     /// Hides the digest: short keys can be guessed from theirs.
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -76,6 +82,11 @@
         self.find_digest(digest(key))
     }
 
+    /// The digests of all valid keys, in their order.
+    pub(super) fn keys(&self) -> impl Iterator<Item = &KeyDigest> {
+        self.members.keys()
+    }
+
     /// The caller that presents `key`.
     pub(super) fn find_caller(&self, key: &str) -> Option<Caller> {
         let key = digest(key);
--- a/serving/src/access/guard.rs
+++ b/serving/src/access/guard.rs
@@ -2,15 +2,18 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use http::HeaderMap;
+
 use crate::{
     catalog::{self, Catalog},
     time::{Clock, Millis},
 };
 
 use super::{
-    Member,
+    Directory, Member,
     directory::KeyDigest,
     lease::{Lease, Reading, Settings},
+    token::Tokens,
 };
 
 /// Delay after which callers may retry while the node can't tell which keys are valid.
@@ -60,11 +63,34 @@
     clock: Clock,
     catalog: catalog::Handle,
     lease: Mutex<Lease>,
+    tokens: Mutex<Tokens>,
 }
 
 impl Guard {
     pub fn new(settings: Settings, clock: Clock, catalog: catalog::Handle) -> Guard {
-        Guard { settings, clock, catalog, lease: Mutex::default() }
+        Guard { settings, clock, catalog, lease: Mutex::default(), tokens: Mutex::default() }
+    }
+
+    /// Applies the keys of a configuration that has just come into force.
+    pub fn update_tokens(&self) {
+        let Some(catalog) = self.catalog.current() else { return };
+        let keys = catalog.workspaces.as_ref().map(Directory::keys);
+        self.tokens().update(keys);
+    }
+
+    /// Adds to a request to another node what shows that it comes from a node. Adds nothing without
+    /// workspaces.
+    pub fn sign(&self, headers: &mut HeaderMap) {
+        self.tokens().sign(headers);
+    }
+
+    /// Whether a request on a port for nodes comes from one. Always true without workspaces.
+    pub fn accepts(&self, headers: &HeaderMap) -> bool {
+        let is_accepted = self.tokens().accepts(headers);
+        if !is_accepted {
+            log::warn!("request of another node refused: its token is missing or not known here");
+        }
+        is_accepted
     }
 
     /// Records a read of the configuration's topic after its configurations were applied. Returns
@@ -150,6 +176,10 @@
         self.lease().is_younger(self.clock.boot_time(), limit)
     }
 
+    fn tokens(&self) -> MutexGuard<'_, Tokens> {
+        self.tokens.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lease(&self) -> MutexGuard<'_, Lease> {
         self.lease.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/serving/src/batch/coordinator.rs
+++ b/serving/src/batch/coordinator.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    exchange::Context,
     id::{Job, Route, Upstream},
     upstream::{Options, Passthrough, Pool, Request},
 };
@@ -34,6 +35,7 @@
 /// Sends reservation requests to the coordinators of all routes.
 #[derive(Clone)]
 pub(super) struct Client {
+    pub(super) context: Arc<Context>,
     pub(super) directory: Arc<Directory>,
     pub(super) peers: Arc<Pool>,
 }
@@ -66,12 +68,14 @@
             Unavailable::NotAccepted
         };
         let body = postcard::to_stdvec(reservation).map_err(|error| fail(error.to_string()))?;
+        let mut headers = HeaderMap::new();
+        self.context.access.sign(&mut headers);
         let request = Request {
             id: reservation.job.0.clone(),
             method: Method::POST,
             target: Uri::from_static(PATH),
             host: address.to_string(),
-            headers: HeaderMap::new(),
+            headers,
             body: Bytes::from(body),
             workspace: None,
         };
--- a/serving/src/batch/group.rs
+++ b/serving/src/batch/group.rs
@@ -97,7 +97,11 @@
         incarnation: u64,
     ) -> Group {
         let directory = Arc::new(Directory::new(settings.partitions));
-        let coordinator = coordinator::Client { directory: Arc::clone(&directory), peers };
+        let coordinator = coordinator::Client {
+            context: Arc::clone(&context),
+            directory: Arc::clone(&directory),
+            peers,
+        };
         let dependencies = Dependencies { context, catalog, store, settings, coordinator };
         let member = format!("{address}/{incarnation:x}");
         Group { dependencies, directory, member, budget: Mutex::default() }
--- a/serving/src/forward/client.rs
+++ b/serving/src/forward/client.rs
@@ -15,6 +15,7 @@
 use tokio::sync::Semaphore;
 
 use crate::{
+    access::Guard,
     balance::Pick,
     collector::DataCentreDigest,
     exchange::Context,
@@ -116,6 +117,7 @@
 
 /// Adds the headers of this protocol to requests, and reads those of responses.
 struct HopCodec<'a> {
+    access: &'a Guard,
     inner: &'a dyn Codec,
     upstream: &'a Upstream,
     is_retryable: bool,
@@ -134,6 +136,7 @@
         message::insert(&mut headers, UPSTREAM, &self.upstream.0);
         message::insert(&mut headers, REQUEST, &request.id);
         message::insert(&mut headers, RETRYABLE, &self.is_retryable.to_string());
+        self.access.sign(&mut headers);
         if self.is_probe {
             message::insert(&mut headers, PROBE, "true");
         }
@@ -187,6 +190,7 @@
         let forwarder = hop.name();
         let options = Options { upstream: &forwarder, deadline: left, ..options };
         let codec = HopCodec {
+            access: &context.access,
             inner: context.codec.as_ref(),
             upstream: &pick.upstream,
             is_retryable,
@@ -257,6 +261,7 @@
         workspace: None,
     };
     let codec = HopCodec {
+        access: &context.access,
         inner: &upstream::Passthrough,
         upstream,
         is_retryable: true,
--- a/serving/src/forward/message.rs
+++ b/serving/src/forward/message.rs
@@ -6,7 +6,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue};
 use serde::{Deserialize, Serialize};
 
-use crate::{collector::DataCentreDigest, time::Millis};
+use crate::{access::TOKEN, collector::DataCentreDigest, time::Millis};
 
 /// Id of the upstream to which the forwarder sends the request.
 pub(super) const UPSTREAM: HeaderName = HeaderName::from_static("forward-upstream");
@@ -25,7 +25,7 @@
 
 /// Removes the headers that belong to the connection between two nodes.
 pub(super) fn strip(headers: &mut HeaderMap) {
-    for name in [UPSTREAM, REQUEST, TIMEOUT, RETRYABLE, PROBE, OUTCOME, UNFRAMED] {
+    for name in [UPSTREAM, REQUEST, TIMEOUT, RETRYABLE, PROBE, OUTCOME, UNFRAMED, TOKEN] {
         headers.remove(name);
     }
 }
--- a/serving/src/forward/server.rs
+++ b/serving/src/forward/server.rs
@@ -128,6 +128,9 @@
     request: Request<Bytes>,
 ) -> Result<Response<Chunks>, Outcome> {
     let (mut parts, body) = request.into_parts();
+    if !context.access.accepts(&parts.headers) {
+        return Err(Outcome::Refused);
+    }
     let text = |name: HeaderName| parts.headers.get(name).and_then(|value| value.to_str().ok());
     let upstream = Upstream::from(text(UPSTREAM).ok_or(Outcome::Refused)?);
     let id = text(REQUEST).unwrap_or_default().to_string();
--- a/serving/src/node.rs
+++ b/serving/src/node.rs
@@ -106,6 +106,7 @@
         let version = catalog.version;
         let routes = catalog.iter().count();
         if self.catalog.update(catalog) {
+            self.exchange.access.update_tokens();
             log::info!(version = version, routes = routes, source = source; "configuration updated");
         }
         self.updated.notify_waiters();
--- a/serving/tests/lease.rs
+++ b/serving/tests/lease.rs
@@ -160,3 +160,40 @@
     assert_eq!(admit(true, &key("key-2")), Ok(None));
     assert_eq!(admit(true, &key("key-1")), Ok(Some("one".to_string())));
 }
+
+/// Guards against nodes that refuse each other's requests while their configurations differ, and
+/// against requests between nodes that change without workspaces.
+#[test]
+fn nodes_recognise_each_other_while_keys_change() {
+    let node = || {
+        let handle = Handle::default();
+        (Guard::new(Settings::default(), Clock::default(), handle.clone()), handle)
+    };
+    let (old, new, bare) = (node(), node(), node());
+    let update = |(guard, handle): &(Guard, Handle), catalog| {
+        handle.update(catalog);
+        guard.update_tokens();
+    };
+    let signed = |(guard, _): &(Guard, Handle)| {
+        let mut headers = http::HeaderMap::new();
+        guard.sign(&mut headers);
+        headers
+    };
+    update(&bare, Catalog::new(1, Limits::default(), Vec::new()));
+    assert!(signed(&bare).is_empty() && bare.0.accepts(&signed(&new)));
+    update(&old, catalog(1, &[("one", "key-1")]));
+    assert!(!old.0.accepts(&signed(&bare)));
+    for version in 1..6 {
+        let key = format!("key-{version}");
+        update(&new, catalog(version, &[("one", &key)]));
+        assert!(new.0.accepts(&signed(&new)));
+        // The older node is one version behind, then more.
+        assert_eq!(old.0.accepts(&signed(&new)), version <= 2, "{version}");
+        assert_eq!(new.0.accepts(&signed(&old)), version <= 4, "{version}");
+    }
+    // The token doesn't depend on the version, and nobody can derive one without keys.
+    update(&old, catalog(9, &[("two", "key-5")]));
+    assert!(new.0.accepts(&signed(&old)));
+    update(&bare, catalog(2, &[]));
+    assert!(signed(&bare).is_empty() && !bare.0.accepts(&signed(&new)));
+}
