feat(access): quarantine and blocked parts are judged within a workspace

Callers of one workspace could get requests of another one refused: callers choose the ids of parts of prompts, so crashes under requests that use another workspace's ids blocked them at all nodes, and equal requests shared a quarantine.

Without a workspace both stay the same, and older nodes' reports of them still apply. The price: a harmful part that several workspaces use needs its three crashes in each.

--- a/serving/src/batch/owner/items.rs
+++ b/serving/src/batch/owner/items.rs
@@ -189,6 +189,7 @@
         let context = &self.dependencies.context;
         let now = context.clock.now();
         let prompt = context.codec.read_prompt(&request.headers);
+        let prompt = prompt.scoped(request.workspace.as_ref());
         let waited = self.ledger.waiting_progress(now, item).map(|(_, waited)| waited);
         waited.is_some_and(|waited| waited < BLOCKED_ITEM_PAUSE)
             && context.parts().remaining_block(now, &prompt).is_some()
--- a/serving/src/exchange/task.rs
+++ b/serving/src/exchange/task.rs
@@ -354,9 +354,14 @@
     }
 }
 
-/// Fingerprint of host, path and body, which are the same when the caller sends the request again.
+/// Fingerprint of workspace, host, path and body, which are the same when the caller sends the request
+/// again. A workspace must not get a request of another one quarantined.
 fn fingerprint(routed: &RoutedRequest) -> Fingerprint {
-    let scope = Workspace(format!("{}{}", routed.request.host, routed.request.target));
+    let target = format!("{}{}", routed.request.host, routed.request.target);
+    let scope = match &routed.request.workspace {
+        Some(workspace) => Workspace(format!("{workspace}\0{target}")),
+        None => Workspace(target),
+    };
     Fingerprint::of(&scope, &routed.request.body)
 }
 
--- a/serving/src/parts/prompt.rs
+++ b/serving/src/parts/prompt.rs
@@ -3,8 +3,11 @@
 use std::{fmt, str::FromStr};
 
 use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::id::Workspace;
+
 pub type Result<T> = std::result::Result<T, ParseError>;
 
 /// Maximum number of parts of one prompt that are looked at.
@@ -47,6 +50,19 @@
     }
 }
 
+impl Part {
+    /// Uses a cryptographic hash: a caller must not find an id that matches one of another workspace.
+    fn scoped(self, workspace: &Workspace) -> Part {
+        let mut hash = Sha256::new();
+        hash.update(workspace.0.as_bytes());
+        hash.update([0]);
+        hash.update(self.0.to_be_bytes());
+        let digest: [u8; 32] = hash.finalize().into();
+        let [a, b, c, d, e, f, g, h, ..] = digest;
+        Part(u64::from_be_bytes([a, b, c, d, e, f, g, h]))
+    }
+}
+
 /// The parts of one prompt that other requests may share.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Prompt {
@@ -67,6 +83,13 @@
         Prompt { shared: kept }
     }
 
+    /// The prompt with parts of the workspace alone, because callers choose the ids: a workspace must
+    /// not get parts of another one blocked. Unchanged without a workspace.
+    pub fn scoped(self, workspace: Option<&Workspace>) -> Prompt {
+        let Some(workspace) = workspace else { return self };
+        Prompt { shared: self.shared.into_iter().map(|part| part.scoped(workspace)).collect() }
+    }
+
     pub fn shared(&self) -> &[Part] {
         &self.shared
     }
--- a/serving/tests/parts.rs
+++ b/serving/tests/parts.rs
@@ -478,3 +478,17 @@
         assert!(*sends <= MAX_BAD_SENDS, "{part}: {sends} sends, {outcome:?}");
     }
 }
+
+/// Guards against a workspace that gets the parts of another one blocked by using their ids.
+#[test]
+fn parts_of_one_id_differ_between_workspaces() {
+    let prompt = || Prompt::new([Part(1), Part(2)]);
+    let scoped = |name: &str| prompt().scoped(Some(&name.into()));
+    assert_eq!(prompt().scoped(None), prompt());
+    assert_eq!(scoped("one"), scoped("one"));
+    let all: BTreeSet<Part> = [prompt(), scoped("one"), scoped("two")]
+        .iter()
+        .flat_map(|prompt| prompt.shared().to_vec())
+        .collect();
+    assert_eq!(all.len(), 6);
+}
