fix(origins): prove the only version by a read of the registry sent after the resume, and by its history

Callers got joined texts for resumes whose origin nobody knew: a node that had not read the registry for some time, or a node that asked such a peer, took the version that it knew for the only one; and a lowered timeout shortened the time over which streams of the old version were remembered. After the loss of all nodes, resumes were refused although there was a single version.

* A claim counts only after a read of the registry that was sent after the resume arrived.
Waiting resumes share the reads, at most one every 30 ms and node; a resume waits at most 400 ms and is then refused.
* Another node's claim states how old its read is and counts only if this node's own view covers the time since and has the same version.
Claims of older nodes, which state no age, prove nothing.
Older nodes ignore the age.
* The time to cover is the longest timeout under which a stream can have begun, earlier configurations included, plus the 5 s for which origins are kept.
* A node that starts, or that missed records, reads what the log still holds of the registry.

--- a/serving/src/exchange/origin.rs
+++ b/serving/src/exchange/origin.rs
@@ -44,7 +44,7 @@
         [service] => Some(service),
         _ => None,
     };
-    let software = context.origins.find(request, only_service, routed.route.timeout).await;
+    let software = context.origins.find(request, only_service).await;
     let software = software.ok_or(Error::Unknown)?;
     if !services.contains(&&software.service) {
         return Err(Error::RouteMoved);
--- a/serving/src/fleet.rs
+++ b/serving/src/fleet.rs
@@ -3,6 +3,12 @@
 //! An entry that disappears counts as gone immediately, except shortly after an outage of the
 //! registry. Entries may expire during the outage although their upstreams run, and return as soon
 //! as these reach the registry again.
+//!
+//! All times are those of [`crate::time::Clock::boot_time`], because what is known of the past must
+//! cover the time for which the machine was suspended.
+
+mod history;
+mod reads;
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -17,6 +23,9 @@
     time::Millis,
 };
 
+pub use history::History;
+pub use reads::Reads;
+
 /// Time after an outage of the registry for which missing entries are kept. Upstreams renew their
 /// registration within about two seconds.
 const GRACE_PERIOD: Millis = Millis(2_500);
@@ -90,8 +99,10 @@
     last_answer: Option<Millis>,
     /// End of the grace period. An entry that disappears before this time is kept until then.
     grace_until: Millis,
-    /// Time since which no change of the registry was missed.
+    /// Start of the time of which all changes of the registry are known, up to the latest read.
     followed_since: Option<Millis>,
+    /// When the latest read that was applied was sent.
+    confirmed_at: Option<Millis>,
     /// When an upstream with this software last disappeared or changed to another version. Includes
     /// software that other upstreams still run.
     departed: BTreeMap<Software, Millis>,
@@ -111,8 +122,25 @@
         self.last_answer = Some(now);
     }
 
+    /// Records that everything was applied that a read returned which was sent at `sent_at`.
+    pub fn confirm(&mut self, sent_at: Millis) {
+        self.confirmed_at = self.confirmed_at.max(Some(sent_at));
+    }
+
+    pub fn confirmed_at(&self) -> Option<Millis> {
+        self.confirmed_at
+    }
+
+    /// Adds what the log holds of the time before the latest full read.
+    pub fn add_history(&mut self, now: Millis, history: History) {
+        // The time at which the software of the past departed is not known.
+        self.departed.extend(history.software.into_iter().map(|software| (software, now)));
+        self.followed_since = self.followed_since.map(|since| since - history.reach);
+    }
+
     /// The version of all upstreams that `service` has had for `lifetime`. `None` if there were
-    /// several or none, or if the registry has not been followed for that long.
+    /// several or none, or if the registry has not been followed for that long. Says nothing of the
+    /// time after [`State::confirmed_at`].
     pub fn only_version(
         &self,
         now: Millis,
--- a/serving/src/node.rs
+++ b/serving/src/node.rs
@@ -15,7 +15,7 @@
     balance, catalog,
     catalog::Catalog,
     exchange, fleet,
-    fleet::Change,
+    fleet::{Change, History},
     forward::Forwarders,
     id::{DataCentre, Upstream, Vm},
     metrics::Metrics,
@@ -105,6 +105,9 @@
     pub fn update_catalog(&self, catalog: Catalog, source: &str) {
         let version = catalog.version;
         let routes = catalog.iter().count();
+        if self.catalog().is_none_or(|current| current.version < version) {
+            self.exchange.origins.update_lifetimes(&catalog);
+        }
         if self.catalog.update(catalog) {
             self.exchange.access.update_tokens();
             log::info!(version = version, routes = routes, source = source; "configuration updated");
@@ -123,19 +126,32 @@
     /// Records that the registry was read successfully. Must be called before the changes from that
     /// read are applied.
     pub fn record_registry_read(&self) {
-        lock(&self.exchange.fleet).record_registry_read(self.exchange.clock.now());
+        lock(&self.exchange.fleet).record_registry_read(self.exchange.clock.boot_time());
+    }
+
+    /// Records that everything was applied that a read of the registry returned which was sent at
+    /// `sent_at`.
+    pub fn confirm_registry_read(&self, sent_at: Millis) {
+        lock(&self.exchange.fleet).confirm(sent_at);
+        self.exchange.origins.reads.record(sent_at);
+    }
+
+    /// Applies what the log holds of the registry's past before the latest full read.
+    pub fn add_history(&self, history: History) {
+        log::info!(reach_ms = history.reach.0, versions = history.software.len(); "history of the registry read");
+        lock(&self.exchange.fleet).add_history(self.exchange.clock.boot_time(), history);
     }
 
     /// Replaces the fleet by `entries`, the complete contents of the registry.
     pub fn replace_fleet(&self, entries: BTreeMap<Upstream, fleet::Entry>) {
-        let changes = lock(&self.exchange.fleet).replace(self.exchange.clock.now(), entries);
+        let changes = lock(&self.exchange.fleet).replace(self.exchange.clock.boot_time(), entries);
         self.apply_changes(&changes);
         self.updated.notify_waiters();
     }
 
     /// Applies changes of the registry in order: `None` removes the entry of an upstream.
     pub fn update_fleet(&self, entries: Vec<(Upstream, Option<fleet::Entry>)>) {
-        let now = self.exchange.clock.now();
+        let now = self.exchange.clock.boot_time();
         let mut fleet = lock(&self.exchange.fleet);
         let change = |(upstream, entry)| match entry {
             Some(entry) => fleet.upsert(now, upstream, entry),
@@ -148,7 +164,7 @@
 
     /// Removes expired upstreams and closes expired connections. Must be called periodically.
     pub fn tick(&self) {
-        let expired = lock(&self.exchange.fleet).expire(self.exchange.clock.now());
+        let expired = lock(&self.exchange.fleet).expire(self.exchange.clock.boot_time());
         self.apply_changes(&expired);
         self.exchange.pool.close_expired();
         self.exchange.forwarders.close_expired();
--- a/serving/src/origins/message.rs
+++ b/serving/src/origins/message.rs
@@ -20,7 +20,15 @@
     Known { request: Digest, origin: Origin, remaining: Millis },
     /// The sender doesn't know the origin. `only_version` is the version of all upstreams that the
     /// service has had for the lifetime of a stream, if that was a single one.
-    Unknown { request: Digest, only_version: Option<Version> },
+    Unknown {
+        request: Digest,
+        only_version: Option<Version>,
+        /// Time since the sender sent its latest read of the registry, which is as far as
+        /// `only_version` reaches. Encoded after the datagram; `None` from older nodes, whose
+        /// `only_version` proves nothing.
+        #[serde(skip)]
+        age: Option<Millis>,
+    },
     /// The request may move to other software: the receiver drops what it knows of its origin
     /// before `revision`, and confirms that. Nodes that don't know this datagram ignore it.
     Withdraw { request: Digest, revision: u32, remaining: Millis },
@@ -30,10 +38,20 @@
 
 impl Datagram {
     pub fn encode(&self) -> Result<Vec<u8>> {
-        postcard::to_stdvec(self)
+        let mut bytes = postcard::to_stdvec(self)?;
+        if let Datagram::Unknown { age, .. } = self {
+            bytes.extend(postcard::to_stdvec(age)?);
+        }
+        Ok(bytes)
     }
 
     pub fn decode(bytes: &[u8]) -> Result<Datagram> {
-        postcard::from_bytes(bytes)
+        let (mut datagram, rest): (Datagram, &[u8]) = postcard::take_from_bytes(bytes)?;
+        if let Datagram::Unknown { age, .. } = &mut datagram
+            && !rest.is_empty()
+        {
+            *age = postcard::from_bytes(rest)?;
+        }
+        Ok(datagram)
     }
 }
--- a/serving/src/origins/mod.rs
+++ b/serving/src/origins/mod.rs
@@ -8,13 +8,16 @@
 //! it has dropped it.
 //!
 //! * `state` holds what is known and what to announce.
+//! * `lifetime` says how long ago a stream can have begun that is still resumed.
 //! * `message` are the questions that nodes ask each other, and the replies.
 //! * `task` asks and replies.
 
+mod lifetime;
 mod message;
 mod state;
 mod task;
 
+pub use lifetime::Lifetimes;
 pub use message::{Datagram, Result};
 pub use state::{Announcement, Digest, News, Origin, State, Withdrawal};
 pub use task::{Origins, run};
--- a/serving/src/origins/state.rs
+++ b/serving/src/origins/state.rs
@@ -12,7 +12,7 @@
 
 /// Time after the deadline of a request for which its origin is kept, because a caller may resume
 /// the stream after that request has ended.
-const RETENTION: Millis = Millis(5_000);
+pub(super) const RETENTION: Millis = Millis(5_000);
 /// Maximum number of origins. Beyond it the one that expires first is removed.
 const MAX_ORIGINS: usize = 20_000;
 /// Number of messages that announce an origin, because datagrams may be lost.
--- a/serving/src/origins/task.rs
+++ b/serving/src/origins/task.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
+    pin::pin,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -14,15 +15,18 @@
 };
 
 use crate::{
-    fleet::{self, Software},
-    id::Service,
+    catalog::Catalog,
+    fleet::{self, Reads, Software},
+    id::{Service, Version},
     time::{Clock, Millis},
 };
 
-use super::{Datagram, Digest, State, Withdrawal};
+use super::{Datagram, Digest, Lifetimes, State, Withdrawal};
 
 /// How long a resume waits for the replies of other nodes.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(100);
+/// How long a resume waits for a read of the registry. A slow log answers within 250 ms.
+const READ_TIMEOUT: Duration = Duration::from_millis(400);
 /// Delay after which a question is sent again, because datagrams may be lost.
 const REPEAT_DELAY: Duration = Duration::from_millis(30);
 /// Limit of calls that wait to be sent; a call beyond it counts as unanswered.
@@ -36,7 +40,23 @@
     service: Service,
     /// Time for which a stream can be resumed.
     lifetime: Millis,
-    answer_tx: oneshot::Sender<Option<Software>>,
+    answer_tx: oneshot::Sender<Answer>,
+}
+
+/// What other nodes know about the origin of a stream.
+#[derive(Clone, Debug)]
+enum Answer {
+    Known(Software),
+    /// Nobody knows the origin.
+    Claims(Vec<Claim>),
+}
+
+/// The only version that a service has had, as another node has seen it.
+#[derive(Clone, Debug)]
+struct Claim {
+    version: Version,
+    /// How far back the end of the time lies that the claim covers.
+    age: Millis,
 }
 
 /// Something for the task to send.
@@ -51,6 +71,9 @@
     clock: Clock,
     fleet: Arc<Mutex<fleet::State>>,
     state: Mutex<State>,
+    lifetimes: Mutex<Lifetimes>,
+    /// Reads of the registry that resumes wait for.
+    pub reads: Reads,
     call_tx: mpsc::Sender<Call>,
     call_rx: Mutex<Option<mpsc::Receiver<Call>>>,
 }
@@ -59,32 +82,93 @@
     pub fn new(clock: Clock, fleet: Arc<Mutex<fleet::State>>) -> Origins {
         let (call_tx, call_rx) = mpsc::channel(MAX_CALLS);
         let call_rx = Mutex::new(Some(call_rx));
-        Origins { clock, fleet, state: Mutex::default(), call_tx, call_rx }
+        Origins {
+            clock,
+            fleet,
+            state: Mutex::default(),
+            lifetimes: Mutex::default(),
+            reads: Reads::default(),
+            call_tx,
+            call_rx,
+        }
     }
 
     pub fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Applies the timeouts of a new configuration.
+    pub fn update_lifetimes(&self, catalog: &Catalog) {
+        let mut lifetimes = self.lifetimes.lock().unwrap_or_else(PoisonError::into_inner);
+        lifetimes.update(self.clock.boot_time(), catalog);
+    }
+
+    fn lifetime(&self, service: &Service) -> Millis {
+        let lifetimes = self.lifetimes.lock().unwrap_or_else(PoisonError::into_inner);
+        lifetimes.get(self.clock.boot_time(), service)
+    }
+
     /// The software that may resume a stream of `service`, which `request` began; `None` if no node
-    /// knows it. `lifetime` is the time for which a stream can be resumed.
-    pub async fn find(
-        &self,
-        request: Digest,
-        service: Option<&Service>,
-        lifetime: Millis,
-    ) -> Option<Software> {
-        if let Some(software) = self.find_here(request, service, lifetime) {
-            return Some(software);
+    /// knows it. That the service has had a single version counts only after a read of the registry
+    /// that is sent after this call, because a new upstream may have begun the stream.
+    pub async fn find(&self, request: Digest, service: Option<&Service>) -> Option<Software> {
+        if let Some(origin) = self.state().find(self.clock.now(), request) {
+            return Some(origin.software);
+        }
+        let asked_at = self.clock.boot_time();
+        let service = service.cloned();
+        let lifetime = service.as_ref().map(|service| self.lifetime(service)).unwrap_or_default();
+        let mut answer = pin!(self.ask(request, service.clone().unwrap_or_default(), lifetime));
+        let mut read = pin!(tokio::time::timeout(READ_TIMEOUT, self.reads.wait(asked_at)));
+        let (mut claims, mut is_confirmed) = (None, service.is_none().then_some(false));
+        while claims.is_none() || is_confirmed.is_none() {
+            tokio::select! {
+                answer = &mut answer, if claims.is_none() => match answer {
+                    Answer::Known(software) => return Some(software),
+                    Answer::Claims(unproved) => claims = Some(unproved),
+                },
+                result = &mut read, if is_confirmed.is_none() => {
+                    is_confirmed = Some(result.is_ok());
+                    let proved = service.as_ref().filter(|_| result.is_ok()).and_then(|service| {
+                        self.fleet().only_version(self.clock.boot_time(), service, lifetime)
+                    });
+                    if let Some(version) = proved {
+                        return Some(Software { service: service?, version });
+                    }
+                },
+            }
+        }
+        if !is_confirmed? {
+            return None;
         }
+        let service = service?;
+        let proved = claims?.into_iter().find(|claim| self.is_proved(claim, asked_at, &service))?;
+        Some(Software { service, version: proved.version })
+    }
+
+    /// Asks the other nodes.
+    async fn ask(&self, request: Digest, service: Service, lifetime: Millis) -> Answer {
         let (answer_tx, answer) = oneshot::channel();
-        let service = service.cloned().unwrap_or_default();
         let question = Question { request, service, lifetime, answer_tx };
         if self.call_tx.try_send(Call::Ask(question)).is_err() {
-            log::warn!("too many questions for the origins of streams; a resume is refused");
-            return None;
+            log::warn!(
+                "too many questions for the origins of streams; a resume isn't sent to other nodes"
+            );
+            return Answer::Claims(Vec::new());
+        }
+        match tokio::time::timeout(REPLY_TIMEOUT * 2, answer).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(_)) | Err(_) => Answer::Claims(Vec::new()),
         }
-        tokio::time::timeout(REPLY_TIMEOUT, answer).await.ok()?.ok()?
+    }
+
+    /// Whether this node's own view, which must be confirmed, covers the time since the end of what
+    /// the claim covers, and has the same version.
+    fn is_proved(&self, claim: &Claim, asked_at: Millis, service: &Service) -> bool {
+        let now = self.clock.boot_time();
+        // One more millisecond, so that changes at the very end of the claim are covered.
+        let since_claim = now - (asked_at - claim.age) + Millis(1);
+        self.fleet().only_version(now, service, since_claim).as_ref() == Some(&claim.version)
     }
 
     /// Withdraws the proposed software of a request of this node. Returns whether no other node
@@ -101,22 +185,6 @@
         self.state().is_withdrawn(request)
     }
 
-    fn find_here(
-        &self,
-        request: Digest,
-        service: Option<&Service>,
-        lifetime: Millis,
-    ) -> Option<Software> {
-        let now = self.clock.now();
-        let known = self.state().find(now, request);
-        if let Some(origin) = known {
-            return Some(origin.software);
-        }
-        let service = service?;
-        let version = self.fleet().only_version(now, service, lifetime)?;
-        Some(Software { service: service.clone(), version })
-    }
-
     fn reply(&self, request: Digest, service: &Service, lifetime: Millis) -> Datagram {
         let now = self.clock.now();
         let state = self.state();
@@ -124,8 +192,11 @@
             return Datagram::Known { request, origin, remaining: state.remaining(now, request) };
         }
         drop(state);
-        let only_version = self.fleet().only_version(now, service, lifetime);
-        Datagram::Unknown { request, only_version }
+        let lifetime = lifetime.max(self.lifetime(service));
+        let (fleet, now) = (self.fleet(), self.clock.boot_time());
+        let only_version = fleet.only_version(now, service, lifetime);
+        let age = fleet.confirmed_at().map(|at| now - at);
+        Datagram::Unknown { request, only_version, age }
     }
 
     fn fleet(&self) -> MutexGuard<'_, fleet::State> {
@@ -138,6 +209,7 @@
     question: Question,
     /// Nodes that have not replied yet.
     missing: Vec<SocketAddr>,
+    claims: Vec<Claim>,
     repeat_at: Option<Instant>,
     expires_at: Instant,
 }
@@ -184,13 +256,14 @@
                 let missing: Vec<SocketAddr> = peers().into_iter().map(question_address).collect();
                 if missing.is_empty() {
                     // Sending fails if the resume has given up.
-                    let _ = question.answer_tx.send(None);
+                    let _ = question.answer_tx.send(Answer::Claims(Vec::new()));
                     continue;
                 }
                 ask(&socket, &question, &missing).await;
                 asked.entry(question.request).or_default().push(Asked {
                     question,
                     missing,
+                    claims: Vec::new(),
                     repeat_at: Some(now + REPEAT_DELAY),
                     expires_at: now + REPLY_TIMEOUT,
                 });
@@ -229,7 +302,10 @@
                             ask(&socket, &asked.question, &asked.missing).await;
                         }
                     }
-                    questions.retain(|asked| asked.expires_at > now);
+                    for expired in questions.extract_if(.., |asked| asked.expires_at <= now) {
+                        // Sending fails if the resume has given up.
+                        let _ = expired.question.answer_tx.send(Answer::Claims(expired.claims));
+                    }
                 }
                 asked.retain(|_, questions| !questions.is_empty());
                 withdrawing.retain(|_, sent| sent.expires_at > now);
@@ -244,40 +320,45 @@
     }
 }
 
-/// Answers the questions that a reply settles: one with the origin or with the only version that
-/// could have begun the stream, or the last one that says that the origin is unknown.
+/// Answers the questions that a reply settles: one with the origin, or the last one that says that
+/// the origin is unknown.
 fn handle_reply(
     origins: &Origins,
     asked: &mut BTreeMap<Digest, Vec<Asked>>,
     reply: Datagram,
     sender: SocketAddr,
 ) {
-    let (request, answer) = match reply {
+    let (request, known, claim) = match reply {
         Datagram::Question { .. } | Datagram::Withdraw { .. } | Datagram::Withdrawn { .. } => {
             return;
         }
         Datagram::Known { request, origin, remaining } => {
             let software = origin.software.clone();
             origins.state().learn(origins.clock.now(), request, origin, remaining);
-            (request, Some(software))
+            (request, Some(software), None)
         }
-        Datagram::Unknown { request, only_version } => {
-            let service = asked.get(&request).and_then(|questions| questions.first());
-            let service = service.map(|asked| asked.question.service.clone());
-            let software = |version| Some(Software { service: service?, version });
-            (request, only_version.and_then(software))
+        Datagram::Unknown { request, only_version, age } => {
+            let claim = only_version.zip(age).map(|(version, age)| Claim { version, age });
+            (request, None, claim)
         }
     };
     let Some(questions) = asked.get_mut(&request) else { return };
-    for asked in std::mem::take(questions) {
-        let mut asked = asked;
+    for mut asked in std::mem::take(questions) {
+        let was_missing = asked.missing.len();
         asked.missing.retain(|peer| *peer != sender);
-        if answer.is_some() || asked.missing.is_empty() {
-            // Sending fails if the resume has given up.
-            let _ = asked.question.answer_tx.send(answer.clone());
-        } else {
-            questions.push(asked);
+        if asked.missing.len() < was_missing {
+            asked.claims.extend(claim.clone());
         }
+        let answer = match &known {
+            Some(software) => Answer::Known(software.clone()),
+            None if asked.missing.is_empty() => Answer::Claims(asked.claims),
+            None => {
+                questions.push(asked);
+                continue;
+            }
+        };
+        // Sending fails if the resume has given up.
+        let _ = asked.question.answer_tx.send(answer);
     }
 }
 
--- a/serving/tests/fleet.rs
+++ b/serving/tests/fleet.rs
@@ -1,11 +1,15 @@
 //! Tests of the fleet's state: changes of entries and the grace period after an outage of the
 //! registry.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
 use serving::{
-    fleet::{Change, Entry, State},
-    id::{Service, Upstream},
+    fleet::{Change, Entry, History, Reads, State},
+    id::{Service, Upstream, Version},
     time::Millis,
 };
 
@@ -120,3 +124,215 @@
     assert_eq!(only(&state, 13_000), None, "the upstream restarted with another version");
     assert_eq!(only(&state, 18_000), Some("v3".into()));
 }
+
+fn versioned(version: u8) -> Entry {
+    Entry { version: format!("v{version}").as_str().into(), ..entry(1, false) }
+}
+
+/// Guards against a reach that is longer than what the log still holds.
+#[test]
+fn history_reaches_as_far_as_renewals_of_two_upstreams_show() {
+    let record = |upstream: &str, version| (Upstream::from(upstream), Some(versioned(version)));
+    let mut records = vec![record("a", 1); 11];
+    records.extend(vec![record("b", 1); 6]);
+    records.push((Upstream::from("c"), None));
+    let reach = |records: &[_], heartbeat| {
+        History::new(records.iter().cloned(), Some(Millis(heartbeat))).reach
+    };
+    assert_eq!(reach(&records, 1_000), Millis(4_000), "5 renewals of b, less the margin");
+    assert_eq!(reach(&records[..11], 1_000), Millis(8_000), "the only upstream");
+    assert_eq!(reach(&records, 0), Millis(0));
+    assert_eq!(History::new(records.clone(), None).reach, Millis(0));
+    records.extend([record("a", 2), record("a", 2)]);
+    let history = History::new(records, Some(Millis(1_000)));
+    assert_eq!(history.software.len(), 2);
+    assert_eq!(history.reach, Millis(4_000));
+}
+
+#[test]
+fn history_extends_what_is_known_of_the_past() {
+    let (service, lifetime) = (Service::from("model"), Millis(5_000));
+    let history = |version| {
+        let record = (id(), Some(versioned(version)));
+        History::new(vec![record; 11], Some(Millis(1_000)))
+    };
+    let mut state = State::default();
+    state.add_history(Millis(20_000), history(1));
+    assert_eq!(state.only_version(Millis(20_000), &service, lifetime), None, "nothing was read");
+    state.replace(Millis(20_000), BTreeMap::from([(id(), versioned(1))]));
+    let mut other = state.clone();
+    state.add_history(Millis(20_000), history(1));
+    assert_eq!(state.only_version(Millis(20_000), &service, lifetime), Some("v1".into()));
+    assert_eq!(state.only_version(Millis(20_000), &service, Millis(8_001)), None);
+    other.add_history(Millis(20_000), history(2));
+    assert_eq!(other.only_version(Millis(20_000), &service, lifetime), None);
+}
+
+/// A resume must not take a read that was sent before it arrived for a new one.
+#[tokio::test]
+async fn waiting_resumes_share_the_next_read() {
+    let reads = Reads::default();
+    reads.record(Millis(100));
+    reads.wait(Millis(100)).await;
+    let reader = async {
+        reads.wanted().await;
+        reads.record(Millis(199));
+        reads.record(Millis(50));
+        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+        reads.record(Millis(201));
+    };
+    let started = tokio::time::Instant::now();
+    tokio::join!(reads.wait(Millis(200)), reads.wait(Millis(201)), reader);
+    assert!(started.elapsed().as_millis() >= 50, "waits for a read that was sent later");
+}
+
+/// What one node knows of a registry that changes, with the log away or slow at times.
+#[derive(Default)]
+struct Reader {
+    state: State,
+    /// Number of records that were read, if the node has read any.
+    next: Option<usize>,
+}
+
+/// A registry whose records are kept from `first` on. Every record renews or replaces an entry.
+#[derive(Default)]
+struct Registry {
+    records: Vec<(Upstream, Option<Entry>)>,
+    first: usize,
+}
+
+impl Registry {
+    fn entries(&self, end: usize) -> BTreeMap<Upstream, Entry> {
+        let mut entries = BTreeMap::new();
+        for (upstream, entry) in &self.records[..end] {
+            match entry {
+                Some(entry) => entries.insert(upstream.clone(), entry.clone()),
+                None => entries.remove(upstream),
+            };
+        }
+        entries
+    }
+
+    fn versions(&self) -> BTreeSet<Version> {
+        let entries = self.entries(self.records.len());
+        entries.into_values().map(|entry| entry.version).collect()
+    }
+
+    /// Lets `reader` apply a read that was sent at `sent_at` and returned the records before `end`.
+    fn read(
+        &self,
+        reader: &mut Reader,
+        sent_at: Millis,
+        now: Millis,
+        end: usize,
+        heartbeat: Millis,
+    ) {
+        match reader.next.filter(|next| *next >= self.first) {
+            Some(next) => {
+                for (upstream, entry) in &self.records[next..end.max(next)] {
+                    match entry {
+                        Some(entry) => {
+                            drop(reader.state.upsert(now, upstream.clone(), entry.clone()))
+                        }
+                        None => drop(reader.state.remove(now, upstream)),
+                    }
+                }
+            }
+            None => {
+                reader.state.replace(now, self.entries(end));
+                let kept = self.records[self.first.min(end)..end].iter().cloned();
+                reader.state.add_history(now, History::new(kept, Some(heartbeat)));
+            }
+        }
+        reader.next = Some(end.max(reader.next.unwrap_or(0)));
+        reader.state.confirm(sent_at);
+    }
+}
+
+proptest! {
+    #![proptest_config(Config {
+        rng_seed: RngSeed::Fixed(22),
+        failure_persistence: None,
+        cases: 1_000,
+        ..Config::default()
+    })]
+
+    /// Nodes start in any order, with the log away, slow or compacted, and upstreams come, go and
+    /// restart with one or two versions. A version that a node takes for the only one, by its own
+    /// view or by that of another node, is that of every stream that callers can still resume.
+    #[test]
+    fn only_version_is_never_a_wrong_one(
+        versions in 1u8..3,
+        steps in prop::collection::vec((0u8..9, any::<u8>(), 0u64..4), 20..200),
+    ) {
+        const HEARTBEAT: Millis = Millis(1_000);
+        const LIFETIME: Millis = Millis(5_000);
+        let service = Service::from("model");
+        let mut registry = Registry::default();
+        let mut readers = [Reader::default(), Reader::default(), Reader::default()];
+        // When each version could last begin a stream.
+        let mut begun: BTreeMap<Version, Millis> = BTreeMap::new();
+        let mut now = Millis(100_000);
+        for (step, choice, pause) in steps {
+            let index = usize::from(choice % 3);
+            let upstream = Upstream::from(["a", "b", "c"][index]);
+            match step {
+                0 => {
+                    // A renewal takes a heartbeat, so an entry must change here.
+                    let entry = versioned((choice / 3) % versions);
+                    let entries = registry.entries(registry.records.len());
+                    if entries.get(&upstream) != Some(&entry) {
+                        registry.records.push((upstream, Some(entry)));
+                    }
+                }
+                1 => registry.records.push((upstream, None)),
+                // All upstreams renew their entries: a heartbeat passes.
+                2..=4 => {
+                    now = now + HEARTBEAT;
+                    let entries = registry.entries(registry.records.len());
+                    let renewed = entries.into_iter().map(|(id, entry)| (id, Some(entry)));
+                    registry.records.extend(renewed);
+                }
+                5 if choice % 4 == 0 => readers[index] = Reader::default(),
+                6 if choice % 8 == 0 => registry.first = registry.records.len(),
+                // A slow read returns some records that were written after it was sent.
+                _ => {
+                    let (sent_at, end) = (now, registry.records.len());
+                    now = now + Millis(pause * 100);
+                    registry.read(&mut readers[index], sent_at, now, end, HEARTBEAT);
+                }
+            }
+            for version in registry.versions() {
+                begun.insert(version, now);
+            }
+            let can_resume: Vec<&Version> = begun
+                .iter()
+                .filter(|(_, at)| now - **at < LIFETIME)
+                .map(|(version, _)| version)
+                .collect();
+            // A resume arrives: a node answers by its own view only if it reads now.
+            let asked_at = now;
+            let reader = &readers[index];
+            let claims: Vec<(Version, Millis)> = readers
+                .iter()
+                .filter_map(|peer| {
+                    let version = peer.state.only_version(now, &service, LIFETIME)?;
+                    Some((version, now - peer.state.confirmed_at()?))
+                })
+                .collect();
+            let mut confirmed = Reader { state: reader.state.clone(), next: reader.next };
+            registry.read(&mut confirmed, asked_at, now, registry.records.len(), HEARTBEAT);
+            let own = confirmed.state.only_version(now, &service, LIFETIME);
+            let proved = claims.into_iter().filter(|(version, age)| {
+                let since_claim = now - (asked_at - *age) + Millis(1);
+                confirmed.state.only_version(now, &service, since_claim).as_ref() == Some(version)
+            });
+            for version in own.into_iter().chain(proved.map(|(version, _)| version)) {
+                prop_assert!(
+                    can_resume.iter().all(|begun| **begun == version),
+                    "{version} is not the only one of {can_resume:?}"
+                );
+            }
+        }
+    }
+}
--- a/serving/tests/origins.rs
+++ b/serving/tests/origins.rs
@@ -8,7 +8,7 @@
 };
 use serving::{
     fleet::Software,
-    origins::{Digest, News, Origin, State, Withdrawal},
+    origins::{Datagram, Digest, News, Origin, State, Withdrawal},
     time::Millis,
 };
 
@@ -158,6 +158,18 @@
     assert!(!state.is_withdrawn(Digest::of("r2")));
 }
 
+/// Nodes of the previous version decode the datagrams without what is encoded after them.
+#[test]
+fn older_nodes_understand_replies() {
+    let reply =
+        |age| Datagram::Unknown { request: Digest::of("r1"), only_version: Some("v1".into()), age };
+    let bytes = reply(Some(Millis(7))).encode().unwrap();
+    assert_eq!(postcard::from_bytes::<Datagram>(&bytes).unwrap(), reply(None));
+    assert_eq!(Datagram::decode(&bytes).unwrap(), reply(Some(Millis(7))));
+    let older = postcard::to_stdvec(&reply(None)).unwrap();
+    assert_eq!(Datagram::decode(&older).unwrap(), reply(None), "the claim of an older node");
+}
+
 /// A datagram between the node that runs the request and another one.
 #[derive(Clone, Debug)]
 enum Sent {
