feat(batch): end the memberships of earlier processes when a node starts again

After all nodes were killed, the log assigned the partitions of the killed processes to nobody until their memberships expired (2 s). A node that starts now ends the memberships of earlier processes at its own address, which are surely gone.

--- a/serving/src/batch/group.rs
+++ b/serving/src/batch/group.rs
@@ -1,6 +1,7 @@
 //! A node's membership in the consumer group that assigns the partitions of batch jobs to nodes.
 
 use std::{
+    collections::BTreeSet,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
 };
@@ -141,7 +142,11 @@
         let settings = &self.dependencies.settings;
         let mut round = 0;
         let mut is_out = false;
+        let mut has_predecessors = true;
         loop {
+            if has_predecessors {
+                has_predecessors = self.remove_predecessors().await.is_err();
+            }
             let (generation, has_left) = {
                 let table = self.directory.lock();
                 (table.generation, table.has_left)
@@ -233,6 +238,23 @@
         }
     }
 
+    /// Ends the memberships of earlier processes at this node's address, so that their partitions get
+    /// new owners before these memberships expire. The processes are gone, because this one holds
+    /// their address.
+    async fn remove_predecessors(&self) -> log_store::Result<()> {
+        let owners = self.dependencies.store.owners(GROUP, TOPIC).await?;
+        let address = |member: &str| member.split('/').next().map(str::to_string);
+        let own = address(&self.member);
+        let members: BTreeSet<String> = owners.into_iter().map(|(_, member)| member).collect();
+        for member in members {
+            if member != self.member && address(&member) == own {
+                self.dependencies.store.leave(GROUP, &member).await?;
+                log::info!(group = GROUP, member = member.as_str(); "ended the membership of an earlier process at this address");
+            }
+        }
+        Ok(())
+    }
+
     /// Reads results of a job directly from the log, for a node that can't reach the job's owner.
     /// `Ok(None)` means that there is no such job.
     ///
--- a/serving/tests/jobs.rs
+++ b/serving/tests/jobs.rs
@@ -251,6 +251,28 @@
     assert_eq!(owner.body(job("a"), "item-1".to_string()).await.unwrap().unwrap(), "body");
 }
 
+/// Guards against partitions without an owner after all nodes were killed, until the memberships of
+/// the killed processes expire.
+#[tokio::test]
+async fn restarted_node_takes_over_the_partitions_of_the_process_before_it() {
+    let log = Log::new(PARTITIONS);
+    let ttl = Millis(600_000);
+    for predecessor in ["10.0.0.1:7000/0", "10.0.0.2:7000/0"] {
+        log.join("jobs", predecessor, TOPIC, 0, ttl).await.unwrap();
+    }
+    let nodes = [Node::start(&log, 1, 0), Node::start(&log, 2, 0)];
+    for _ in 0..500 {
+        let owners = log.owners("jobs", TOPIC).await.unwrap();
+        let count = |member: &str| owners.iter().filter(|(_, owner)| owner == member).count();
+        if count("10.0.0.1:7000/1") + count("10.0.0.2:7000/2") == usize::from(PARTITIONS) {
+            drop(nodes);
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("partitions stay with processes that are gone");
+}
+
 /// A node that can't reach the log keeps running its owners. A later owner at another node accepts
 /// a job; the earlier owner must not answer that there is no such job.
 #[tokio::test]
