feat(allowance): let requests wait for an owner that isn't known yet

While the partition of a workspace changes hands, requests of the workspace got 429 although it was below its limit. They now look for the owner again for up to 180 ms.

--- a/serving/src/allowance/task.rs
+++ b/serving/src/allowance/task.rs
@@ -30,6 +30,11 @@
 
 /// Limit of datagrams that wait to be sent. A request whose ask is dropped counts as unanswered.
 const MAX_OUTGOING: usize = 1_024;
+/// How long a request waits until an owner is known. With the time in which it is answered this
+/// stays below usual latency objectives.
+const OWNER_WAIT: Millis = Millis(180);
+/// Interval at which such a request looks for the owner again.
+const OWNER_RETRY_INTERVAL: Duration = Duration::from_millis(30);
 /// Largest datagram that can be received.
 const MAX_DATAGRAM_BYTES: usize = 1 << 10;
 /// Interval at which the configuration and the number of nodes are applied.
@@ -79,8 +84,22 @@
     }
 
     /// Decides on one request of a client. Waits for the owner of the workspace's limit for a short
-    /// time if this node holds no grant.
+    /// time if this node holds no grant, also while none is known, because a partition that changes
+    /// hands soon has an owner again.
     pub async fn take(&self, member: &Member) -> Decision {
+        let started_at = self.clock.boot_time();
+        loop {
+            let decision = self.take_once(member).await;
+            let is_over = self.clock.boot_time() - started_at >= OWNER_WAIT;
+            if is_over || !matches!(decision, Decision::Limited { reason: Reason::NoOwner, .. }) {
+                self.metrics.count(&self.metrics.allowance, "request", outcome(&decision));
+                return decision;
+            }
+            tokio::time::sleep(OWNER_RETRY_INTERVAL).await;
+        }
+    }
+
+    async fn take_once(&self, member: &Member) -> Decision {
         let now = self.clock.boot_time();
         let lender = (self.locate)(&member.workspace, now);
         let waiter = {
@@ -97,16 +116,14 @@
             self.execute(&mut inner, now, actions);
             waiter
         };
-        let decision = match waiter {
+        match waiter {
             Err(decision) => decision,
             // The sender is dropped only when the process ends.
             Ok(waiter) => waiter.await.unwrap_or(Decision::Limited {
                 retry_after: Millis(1_000),
                 reason: Reason::NoOwner,
             }),
-        };
-        self.metrics.count(&self.metrics.allowance, "request", outcome(&decision));
-        decision
+        }
     }
 
     /// Whether a request for `service` may be sent although its upstreams may be short. `occupancy`
