--- a/serving/src/access/guard.rs
+++ b/serving/src/access/guard.rs
@@ -147,13 +147,13 @@
         }
     }
 
-    /// Checks an admitted request again, right before it is sent to an upstream: the node may have
-    /// been suspended, or the key revoked, since it was admitted.
+    /// Checks an admitted request again, right before it is sent to an upstream or a job call takes
+    /// effect: the node may have been suspended, or the key revoked, since it was admitted.
     ///
     /// # Errors
     ///
     /// Fails if the request may no longer run.
-    pub(crate) fn recheck(&self, key: KeyDigest, member: &Member) -> Result<(), Denial> {
+    pub fn recheck(&self, key: KeyDigest, member: &Member) -> Result<(), Denial> {
         let Some(catalog) = self.catalog.current() else { return Ok(()) };
         let Some(directory) = &catalog.workspaces else { return Ok(()) };
         if !self.is_strict(&catalog) {
--- a/serving/src/exchange/trace.rs
+++ b/serving/src/exchange/trace.rs
@@ -15,6 +15,8 @@
     request: String,
     route: String,
     service: String,
+    /// The workspace of the request, or an empty string.
+    workspace: String,
     /// Parts of the prompt that other requests may share.
     parts: String,
     config: u64,
@@ -43,6 +45,7 @@
             request: routed.request.id.clone(),
             route: routed.route.id.0.clone(),
             service: routed.service.0.clone(),
+            workspace: routed.request.workspace.clone().unwrap_or_default().0,
             parts: routed.prompt.to_string(),
             config: routed.config_version,
             resumes: routed.resumes.clone().unwrap_or_default(),
@@ -143,6 +146,7 @@
             request = self.request.as_str(),
             route = self.route.as_str(),
             service = self.service.as_str(),
+            workspace = self.workspace.as_str(),
             parts = self.parts.as_str(),
             config = self.config,
             resumes = self.resumes.as_str(),
