feat(balance): choose between upstreams that state their pace by expected time, without herds

What callers saw: with upstreams of uneven speed and pace, late streams while other upstreams had room.

Cause, found in the emulator (88 nodes, 60 upstreams): all nodes choose the least loaded upstream by the same reports. What they place until the next report is at the same few upstreams: 200 to 300 requests in a burst when reports are 300 to 450 ms old. A node alone learns nothing of a pace: it hears from each upstream once in 15 s, and a pace lasts 600 ms.

Change, only where upstreams state a pace: requests of other nodes are taken to have ended, and as many to have begun, since the report. Those that have begun are placed as water fills a vessel, and the request is any one of them, so that an upstream is drawn in proportion to what it gets. Time grows with the square root of speed and pace. A pace is aged towards the upstream's mean within 600 ms. Nodes pass paces on that others don't expect, behind the old fields of gossip and of the collectors' datagrams; without paces the bytes are those of before.

Not measured on processes.

--- a/serving/src/balance/choice.rs
+++ b/serving/src/balance/choice.rs
@@ -16,6 +16,7 @@
 
 use super::{
     Settings, State,
+    pace::{self, Candidate},
     replica::Replica,
     request::{Class, Criteria, Pick, Refusal},
 };
@@ -127,7 +128,8 @@
         (0..count).map(|_| self.rng.random::<f64>() * 0.5).collect()
     }
 
-    /// The least loaded of `upstreams` that has capacity for the request.
+    /// The least loaded of `upstreams` that has capacity for the request. Where upstreams state their
+    /// pace, one of those with the shortest expected times.
     fn least_loaded(
         &self,
         now: Millis,
@@ -141,6 +143,9 @@
             .get(criteria.service)
             .map(|members| members.mean_duration)
             .unwrap_or_default();
+        let has_pace = upstreams.iter().any(|upstream| self.replicas[*upstream].pace.is_stated());
+        let report_age = self.report_age(now);
+        let (mut candidates, mut unseen) = (Vec::new(), 0.0);
         let mut best: Option<(f64, &Upstream)> = None;
         for (upstream, tie_breaker) in upstreams.iter().zip(tie_breakers) {
             let replica = &self.replicas[*upstream];
@@ -155,12 +160,28 @@
                 true => 0.0,
                 false => self.settings.favour_bias,
             };
+            if has_pace {
+                let mut candidate = replica.candidate(now, service_mean, report_age);
+                candidate.time += distance_penalty + favour_penalty;
+                candidates.push((candidate, *upstream));
+                // As many requests as have ended have probably begun.
+                unseen += replica.ended(service_mean, report_age);
+                continue;
+            }
             let load = f64::from(replica.load().total() + 1) * replica.slowdown(service_mean);
             let score = load + distance_penalty + favour_penalty + tie_breaker;
             if best.is_none_or(|(lowest, _)| score < lowest) {
                 best = Some((score, upstream));
             }
         }
+        if has_pace {
+            let (times, upstreams): (Vec<Candidate>, Vec<&Upstream>) =
+                candidates.into_iter().unzip();
+            // Half of a random fraction, which has not been used here.
+            let draw = tie_breakers.first()? * 2.0;
+            let position = pace::draw(&times, unseen, draw)?;
+            return Some(upstreams[position].clone());
+        }
         best.map(|(_, upstream)| upstream.clone())
     }
 
--- a/serving/src/balance/mod.rs
+++ b/serving/src/balance/mod.rs
@@ -4,6 +4,7 @@
 mod choice;
 pub mod limit;
 mod load;
+pub mod pace;
 mod replica;
 mod request;
 mod settings;
--- a/serving/src/balance/replica.rs
+++ b/serving/src/balance/replica.rs
@@ -8,7 +8,12 @@
     time::Millis,
 };
 
-use super::{Class, Load, Settings, limit::Rate, request::Criteria};
+use super::{
+    Class, Load, Settings,
+    limit::Rate,
+    pace::{Candidate, Pace},
+    request::Criteria,
+};
 
 /// Weight of the latest request in the moving average of the failure rate.
 const FAILURE_RATE_WEIGHT: f64 = 0.2;
@@ -17,6 +22,9 @@
 /// Bounds of the slowdown of an upstream relative to its service.
 const SLOWDOWN_RANGE: std::ops::RangeInclusive<f64> = 0.5..=8.0;
 
+/// Run time of requests before the first is measured, in milliseconds.
+const UNKNOWN_RUN_MS: f64 = 500.0;
+
 /// Exponential moving average of the run time of online requests in milliseconds, without the time
 /// in the queue. `None` before the first one.
 #[derive(Clone, Copy, Debug, Default)]
@@ -47,6 +55,8 @@
     pub(super) ejected_until: Millis,
     /// Run time of online requests at this upstream.
     pub(super) mean_duration: MeanDuration,
+    /// Pace, if the upstream states it.
+    pub(super) pace: Pace,
     /// Consecutive failures since the last success.
     pub(super) failures: u32,
     /// Moving average of the share of requests that failed, from 0 to 1.
@@ -66,6 +76,7 @@
             full_until: Millis(0),
             ejected_until: Millis(0),
             mean_duration: MeanDuration::default(),
+            pace: Pace::default(),
             failures: 0,
             failure_rate: 0.0,
             ejected_by: BTreeMap::new(),
@@ -137,6 +148,28 @@
         }
     }
 
+    /// Requests in flight of other nodes that have probably ended `report_age` milliseconds after they
+    /// were reported. Batch requests run for seconds and count as still running.
+    pub(super) fn ended(&self, service_mean: MeanDuration, report_age: f64) -> f64 {
+        let run_ms = self.mean_duration.0.or(service_mean.0).unwrap_or(UNKNOWN_RUN_MS).max(1.0);
+        f64::from(self.peer_load.online) * (1.0 - (-report_age / run_ms).exp())
+    }
+
+    /// The upstream as a candidate for one more request, `penalty` excluded.
+    ///
+    /// Time grows with the square root of the speed and the pace: with the full factors the fast
+    /// upstreams get so much that requests queue there, and with none the slow ones do.
+    pub(super) fn candidate(
+        &self,
+        now: Millis,
+        service_mean: MeanDuration,
+        report_age: f64,
+    ) -> Candidate {
+        let factor = (self.slowdown(service_mean) * self.pace.expected(now)).sqrt();
+        let ahead = f64::from(self.load().total()) - self.ended(service_mean, report_age);
+        Candidate { time: (ahead + 1.0) * factor, time_per_request: factor }
+    }
+
     /// Records that a request was answered after `ms` milliseconds, with `in_flight` others at the
     /// upstream when the request was sent. Returns the estimated run time of the request, without
     /// the time in the queue.
--- a/serving/src/balance/state.rs
+++ b/serving/src/balance/state.rs
@@ -19,7 +19,8 @@
 use super::{
     Settings,
     limit::{self, Limits, Rate},
-    load::{Digest, Load, Loads},
+    load::{Digest, Load, Loads, Stated},
+    pace::{self, Origin},
     replica::{MeanDuration, Replica},
     request::{Class, Outcome, Pick},
 };
@@ -27,6 +28,16 @@
 /// Maximum random addition to the delay after which a caller may retry that was refused because of
 /// rate limits.
 const MAX_RETRY_SPREAD: Millis = Millis(10_000);
+/// Maximum number of paces in one datagram; each takes some 10 bytes.
+const MAX_PACE_REPORTS: usize = 64;
+/// Age of the loads in a sum on its arrival, in intervals between sums. Loads wait for the report of
+/// their node, for the sum of its data centre and for that of the fleet; two collectors send sums, each
+/// at twice the interval.
+const SUM_AGE: f64 = 3.0;
+/// Weight of the latest interval between sums in the moving average.
+const SUM_INTERVAL_WEIGHT: f64 = 0.1;
+/// Age of the loads that gossip reports in a fleet without collectors, in milliseconds.
+const GOSSIP_AGE_MS: f64 = 30.0;
 /// Maximum number of upstreams that are remembered as leaving.
 const MAX_LEAVING: usize = 4_096;
 
@@ -53,6 +64,8 @@
     /// Loads of all other nodes together and the time of their arrival. While they last they are
     /// used in place of `peer_loads`, which is then empty.
     fleet_loads: Option<(Millis, Loads)>,
+    /// Moving average of the milliseconds between two sums of `fleet_loads`.
+    sum_interval_ms: f64,
     /// Kept when an entry disappears, because it may come back while the process still runs.
     pub(super) limits: Limits,
     /// Earliest time at which a load update can expire.
@@ -95,6 +108,7 @@
             leaving: BTreeMap::new(),
             peer_loads: BTreeMap::new(),
             fleet_loads: None,
+            sum_interval_ms: 0.0,
             limits: Limits::default(),
             next_expiry: Millis(0),
         }
@@ -160,6 +174,10 @@
         self.change_peer_loads(&loads, Load::add);
         let single = std::mem::take(&mut self.peer_loads);
         let previous = self.fleet_loads.replace((now, loads));
+        if let Some((at, _)) = &previous {
+            let interval = (now - *at).0 as f64;
+            self.sum_interval_ms += SUM_INTERVAL_WEIGHT * (interval - self.sum_interval_ms);
+        }
         for (_, loads) in single.into_values().chain(previous) {
             self.change_peer_loads(&loads, Load::sub);
         }
@@ -270,6 +288,44 @@
         previous != Some(pick.started)
     }
 
+    /// Records the load and pace in a response of the process that `pick` names. Without a pace nothing
+    /// changes.
+    pub fn record_stated(&mut self, now: Millis, pick: &Pick, stated: Stated) {
+        let Some(percent) = stated.pace else { return };
+        let Some(replica) = self.replicas.get_mut(&pick.upstream) else { return };
+        if replica.entry.started == pick.started {
+            let percent = u16::try_from(percent).unwrap_or(u16::MAX);
+            replica.pace.record(now, now, percent, Origin::Own);
+        }
+    }
+
+    /// Applies the paces that another node reports.
+    pub fn update_paces(&mut self, now: Millis, origin: Origin, reports: &[pace::Report]) {
+        for report in reports {
+            let upstream = self.by_digest.get(&report.upstream);
+            if let Some(replica) = upstream.and_then(|id| self.replicas.get_mut(id)) {
+                let at = now - Millis(report.age.into());
+                replica.pace.record(now, at, report.percent, origin);
+            }
+        }
+    }
+
+    /// The paces that this node has learned of at `since` or later, from origins up to `farthest`.
+    pub fn pace_reports(&self, now: Millis, since: Millis, farthest: Origin) -> Vec<pace::Report> {
+        let reports = self.replicas.iter().filter_map(|(upstream, replica)| {
+            replica.pace.report(now, since, Digest::of(upstream), farthest)
+        });
+        reports.take(MAX_PACE_REPORTS).collect()
+    }
+
+    /// Milliseconds since the loads of other nodes were what is known of them, on average.
+    pub(super) fn report_age(&self, now: Millis) -> f64 {
+        match &self.fleet_loads {
+            Some((at, _)) => (now - *at).0 as f64 + SUM_AGE * self.sum_interval_ms,
+            None => GOSSIP_AGE_MS,
+        }
+    }
+
     /// Records the rate limit in a response of the process that `pick` names; `None` if the response
     /// names none.
     pub fn record_limit(
--- a/serving/src/collector/message.rs
+++ b/serving/src/collector/message.rs
@@ -4,7 +4,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    balance::Loads,
+    balance::{Loads, pace},
     id::{DataCentre, Incarnation},
 };
 
@@ -59,7 +59,40 @@
     Fleet { version: Version, included: Version, sum: Sum },
 }
 
+/// A datagram with the paces of upstreams that its sender has learned of since the last one. They are
+/// encoded behind the datagram, where older nodes ignore them; without any, the bytes are those of the
+/// datagram alone.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Envelope {
+    pub datagram: Datagram,
+    pub paces: Vec<pace::Report>,
+}
+
+impl Envelope {
+    pub fn encode(&self) -> Result<Vec<u8>> {
+        let mut bytes = self.datagram.encode()?;
+        if !self.paces.is_empty() {
+            bytes.extend(postcard::to_stdvec(&self.paces)?);
+        }
+        Ok(bytes)
+    }
+
+    pub fn decode(bytes: &[u8]) -> Result<Envelope> {
+        let (datagram, rest) = postcard::take_from_bytes(bytes)?;
+        let paces = if rest.is_empty() { Vec::new() } else { postcard::from_bytes(rest)? };
+        Ok(Envelope { datagram, paces })
+    }
+}
+
 impl Datagram {
+    /// From where the sender has the paces beside this datagram, as seen by its recipient.
+    pub fn pace_origin(&self) -> pace::Origin {
+        match self {
+            Datagram::Member { .. } => pace::Origin::Node,
+            Datagram::DataCentre { .. } | Datagram::Fleet { .. } => pace::Origin::Fleet,
+        }
+    }
+
     pub fn encode(&self) -> Result<Vec<u8>> {
         postcard::to_stdvec(self)
     }
--- a/serving/src/collector/mod.rs
+++ b/serving/src/collector/mod.rs
@@ -10,6 +10,6 @@
 mod state;
 mod task;
 
-pub use message::{DataCentreDigest, Datagram, Result, Sum, Version};
+pub use message::{DataCentreDigest, Datagram, Envelope, Result, Sum, Version};
 pub use state::{Collector, Member, interval_after};
 pub use task::{Tasks, run};
--- a/serving/src/collector/state.rs
+++ b/serving/src/collector/state.rs
@@ -170,13 +170,18 @@
         if !is_due && !has_changed {
             return None;
         }
+        Some(self.report_now(now, loads))
+    }
+
+    /// The report to send to the collectors, whether it is due or not.
+    pub fn report_now(&mut self, now: Millis, loads: &Loads) -> (Version, Loads) {
         let report = (self.next_version(), loads.clone());
         self.reported_at = Some(now);
         self.reports.push_back(report.clone());
         while self.reports.len() > MAX_REPORTS {
             self.reports.pop_front();
         }
-        Some(report)
+        report
     }
 
     /// Takes the sum of a collector. Returns the loads of all other nodes, or `None` if the sum is
--- a/serving/src/collector/task.rs
+++ b/serving/src/collector/task.rs
@@ -7,9 +7,13 @@
 
 use tokio::{net::UdpSocket, time::sleep};
 
-use crate::{peers::Gossip, time::Millis};
+use crate::{
+    balance::pace::{self, Origin},
+    peers::Gossip,
+    time::Millis,
+};
 
-use super::{Collector, Datagram, Member, Version, interval_after, state::INTERVAL};
+use super::{Collector, Datagram, Envelope, Member, Version, interval_after, state::INTERVAL};
 
 /// Largest datagram that can be received.
 const MAX_DATAGRAM_BYTES: usize = 60 << 10;
@@ -29,6 +33,10 @@
     collector: Collector,
     /// When the collector sends its sums next.
     next_sums_at: Millis,
+    /// When the collector sent its sums last.
+    sums_sent_at: Millis,
+    /// When the member last looked for paces to report.
+    paces_sent_at: Millis,
 }
 
 impl Tasks {
@@ -37,6 +45,8 @@
             member: Member::new(gossip.incarnation),
             collector: Collector::default(),
             next_sums_at: Millis(0),
+            sums_sent_at: Millis(0),
+            paces_sent_at: Millis(0),
         });
         let address = convert_address(gossip.address);
         Tasks { gossip, address, convert_address, state }
@@ -51,7 +61,7 @@
     }
 
     /// The datagrams that are due, with their recipients.
-    fn take_datagrams(&self) -> Vec<(SocketAddr, Datagram)> {
+    fn take_datagrams(&self) -> Vec<(SocketAddr, Envelope)> {
         let now = self.now();
         let (mut own, mut others) = self.gossip.state().collectors();
         for address in own.iter_mut().chain(&mut others) {
@@ -59,19 +69,25 @@
         }
         let mut datagrams = Vec::new();
         let mut locked = self.lock();
-        let State { member, collector, next_sums_at } = &mut *locked;
+        let State { member, collector, next_sums_at, sums_sent_at, paces_sent_at } = &mut *locked;
         collector.expire(now);
-        let loads = self.gossip.context.balance().own_loads().clone();
-        if !own.is_empty()
-            && let Some((version, loads)) = member.report(now, &loads)
-        {
+        let since = std::mem::replace(paces_sent_at, now);
+        let (loads, paces) = {
+            let balance = self.gossip.context.balance();
+            (balance.own_loads().clone(), balance.pace_reports(now, since, Origin::Own))
+        };
+        let report = match paces.is_empty() {
+            true => member.report(now, &loads),
+            false => Some(member.report_now(now, &loads)),
+        };
+        if let Some((version, loads)) = report.filter(|_| !own.is_empty()) {
             for address in own {
                 if address == self.address {
                     collector.record_member(now, address, version, loads.clone());
                     continue;
                 }
                 let datagram = Datagram::Member { version, loads: loads.clone() };
-                datagrams.push((address, datagram));
+                datagrams.push((address, Envelope { datagram, paces: paces.clone() }));
             }
         }
         if !collector.has_members() || now < *next_sums_at {
@@ -90,24 +106,31 @@
             return datagrams;
         };
         *next_sums_at = now + interval;
+        let since = std::mem::replace(sums_sent_at, now);
         drop(locked);
+        let paces_up_to =
+            |farthest: Origin| self.gossip.context.balance().pace_reports(now, since, farthest);
+        let paces = paces_up_to(Origin::Node);
         for address in others {
             let (data_centre, sum) = (self.gossip.data_centre, member_sum.clone());
-            datagrams.push((address, Datagram::DataCentre { version, data_centre, sum }));
+            let datagram = Datagram::DataCentre { version, data_centre, sum };
+            datagrams.push((address, Envelope { datagram, paces: paces.clone() }));
         }
+        let paces = paces_up_to(Origin::Fleet);
         for (address, included) in members {
             let datagram = Datagram::Fleet { version, included, sum: sum.clone() };
             if address == self.address {
-                self.handle(address, datagram);
+                self.handle(address, datagram, &[]);
                 continue;
             }
-            datagrams.push((address, datagram));
+            datagrams.push((address, Envelope { datagram, paces: paces.clone() }));
         }
         datagrams
     }
 
-    fn handle(&self, from: SocketAddr, datagram: Datagram) {
+    fn handle(&self, from: SocketAddr, datagram: Datagram, paces: &[pace::Report]) {
         let now = self.now();
+        self.gossip.context.balance().update_paces(now, datagram.pace_origin(), paces);
         let mut locked = self.lock();
         let State { member, collector, .. } = &mut *locked;
         match datagram {
@@ -133,8 +156,8 @@
     tokio::spawn(receive(Arc::clone(&tasks), Arc::clone(&socket)));
     loop {
         sleep(INTERVAL.duration()).await;
-        for (address, datagram) in tasks.take_datagrams() {
-            let bytes = match datagram.encode() {
+        for (address, envelope) in tasks.take_datagrams() {
+            let bytes = match envelope.encode() {
                 Ok(bytes) => bytes,
                 Err(error) => {
                     log::error!(error:% = error; "failed to encode loads");
@@ -158,8 +181,8 @@
                 continue;
             }
         };
-        match Datagram::decode(&buffer[..length]) {
-            Ok(datagram) => tasks.handle(from, datagram),
+        match Envelope::decode(&buffer[..length]) {
+            Ok(envelope) => tasks.handle(from, envelope.datagram, &envelope.paces),
             Err(error) => {
                 log::warn!(peer:% = from, error:% = error, bytes = length; "failed to decode loads")
             }
--- a/serving/src/exchange/task.rs
+++ b/serving/src/exchange/task.rs
@@ -188,6 +188,7 @@
             if head.belongs_to(request) {
                 self.record_limit(pick, head.limit);
                 if let Some(load) = head.load {
+                    self.balance().record_stated(self.clock.now(), pick, load);
                     let believed = pick.load.saturating_add(1);
                     self.metrics.load_error.observe(believed.abs_diff(load.in_flight()).into());
                 }
--- a/serving/src/peers/message.rs
+++ b/serving/src/peers/message.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    balance::{Digest, Loads, limit},
+    balance::{Digest, Loads, limit, pace},
     batch::{order::Bucket, quota::Report},
     collector::DataCentreDigest,
     forward::{Notice, Offer},
@@ -60,9 +60,13 @@
     /// messages of older nodes.
     #[serde(skip)]
     pub offer: Option<Offer>,
-    /// Some other nodes that can forward requests. Encoded last.
+    /// Some other nodes that can forward requests. Encoded after the offer.
     #[serde(skip)]
     pub forwarders: Vec<Notice>,
+    /// Paces of upstreams that the node has read since its last message. Encoded last; not at all
+    /// without any.
+    #[serde(skip)]
+    pub paces: Vec<pace::Report>,
 }
 
 impl Message {
@@ -74,6 +78,9 @@
         bytes.extend(postcard::to_stdvec(&(&self.parts, &self.limits))?);
         bytes.extend(postcard::to_stdvec(&(&self.data_centre, &self.data_centres))?);
         bytes.extend(postcard::to_stdvec(&(&self.offer, &self.forwarders))?);
+        if !self.paces.is_empty() {
+            bytes.extend(postcard::to_stdvec(&self.paces)?);
+        }
         Ok(bytes)
     }
 
@@ -92,7 +99,10 @@
                     postcard::take_from_bytes(rest)?;
             }
             if !rest.is_empty() {
-                (message.offer, message.forwarders) = postcard::from_bytes(rest)?;
+                ((message.offer, message.forwarders), rest) = postcard::take_from_bytes(rest)?;
+            }
+            if !rest.is_empty() {
+                message.paces = postcard::from_bytes(rest)?;
             }
             for ((_, report), ready) in message.owned.iter_mut().zip(ready) {
                 report.ready_by_service = ready;
--- a/serving/src/peers/task.rs
+++ b/serving/src/peers/task.rs
@@ -11,7 +11,7 @@
 use tokio::{net::UdpSocket, time::sleep};
 
 use crate::{
-    balance::Loads,
+    balance::{Loads, pace::Origin},
     batch::{Group, quota::Report},
     collector::DataCentreDigest,
     exchange::Context,
@@ -54,16 +54,24 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn build_message(&self, sequence: u64, update: Update, round: Round, now: Millis) -> Message {
+    fn build_message(
+        &self,
+        sequence: u64,
+        update: Update,
+        round: Round,
+        now: Millis,
+        last_sent_at: Millis,
+    ) -> Message {
         let Round { recipients, introductions, data_centres } = round;
         let (loads, owned) = update;
         let (health, can_forward) = {
             let uplink = self.context.uplink();
             (uplink.health(), uplink.can_forward(now))
         };
-        let (ejected, limits) = {
+        let (ejected, limits, paces) = {
             let mut balance = self.context.balance();
-            (balance.own_ejections(now), balance.own_limits(now))
+            let paces = balance.pace_reports(now, last_sent_at, Origin::Own);
+            (balance.own_ejections(now), balance.own_limits(now), paces)
         };
         // Failures that may be those of the node's own path say nothing of upstreams.
         let ejected = if health == Health::Up { ejected } else { Vec::new() };
@@ -86,6 +94,7 @@
             data_centres,
             offer: Some(Offer { address: self.forward_address, can_forward }),
             forwarders: self.context.forwarders.state().notices(now, &mut rand::rng()),
+            paces,
         }
     }
 
@@ -103,7 +112,11 @@
                 forwarders.record_offer(now, offer, message.data_centre);
             }
         }
-        self.context.balance().update_loads(now, &message.vm, message.loads);
+        {
+            let mut balance = self.context.balance();
+            balance.update_loads(now, &message.vm, message.loads);
+            balance.update_paces(now, Origin::Node, &message.paces);
+        }
         self.context.merge_ejections(now, &message.vm, &message.ejected);
         self.context.quarantine().merge(now, message.suspects);
         self.context.merge_parts(now, message.parts);
@@ -118,6 +131,7 @@
     tokio::spawn(receive(Arc::clone(&gossip), Arc::clone(&socket)));
     let mut sequence = 0;
     let mut last_update = Update::default();
+    let mut last_sent_at = Millis(0);
     loop {
         sleep(POLL_INTERVAL.duration()).await;
         let now = gossip.context.clock.now();
@@ -133,7 +147,8 @@
         last_update = update.clone();
         let round = gossip.state().start_round(now, !update.1.is_empty());
         let recipients = round.recipients.clone();
-        let message = gossip.build_message(sequence, update, round, now);
+        let message = gossip.build_message(sequence, update, round, now, last_sent_at);
+        last_sent_at = now;
         send(&socket, &message, recipients).await;
     }
 }
--- a/serving/tests/collector.rs
+++ b/serving/tests/collector.rs
@@ -8,8 +8,10 @@
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use serving::{
-    balance::{Digest, Load, Loads},
-    collector::{Collector, DataCentreDigest, Datagram, Member, Sum, Version, interval_after},
+    balance::{Digest, Load, Loads, pace},
+    collector::{
+        Collector, DataCentreDigest, Datagram, Envelope, Member, Sum, Version, interval_after,
+    },
     id::{DataCentre, Incarnation, Upstream},
     time::Millis,
 };
@@ -281,6 +283,20 @@
     }
 }
 
+/// Nodes of the last release read the datagram and ignore the paces; without paces the bytes are theirs.
+#[test]
+fn paces_are_left_out_by_older_nodes() {
+    let datagram = Datagram::Member { version: version(1), loads: loads(&[(1, 2)]) };
+    let older = datagram.encode().unwrap();
+    let mut envelope = Envelope { datagram: datagram.clone(), paces: Vec::new() };
+    assert_eq!(envelope.encode().unwrap(), older);
+    assert_eq!(Envelope::decode(&older).unwrap(), envelope);
+    envelope.paces = vec![pace::Report { upstream: digest(1), percent: 250, age: 40 }];
+    let bytes = envelope.encode().unwrap();
+    assert_eq!(Envelope::decode(&bytes).unwrap(), envelope);
+    assert_eq!(Datagram::decode(&bytes).unwrap(), datagram);
+}
+
 /// A malformed datagram must not end the process.
 #[test]
 fn malformed_datagrams_are_errors() {
@@ -289,6 +305,7 @@
         let length = rng.random_range(0..64);
         let bytes: Vec<u8> = (0..length).map(|_| rng.random()).collect();
         let _ = Datagram::decode(&bytes);
+        let _ = Envelope::decode(&bytes);
     }
 }
 
--- a/serving/tests/malformed.rs
+++ b/serving/tests/malformed.rs
@@ -8,13 +8,13 @@
 };
 use rand::{SeedableRng, rngs::SmallRng};
 use serving::{
-    balance::{self, Class, Criteria, Digest, Load, limit},
+    balance::{self, Class, Criteria, Digest, Load, limit, pace},
     batch::{
         ledger::ItemId,
         order::{Bucket, Urgency, WaitingItem},
         quota, schedule,
     },
-    collector::{Collector, DataCentreDigest, Datagram, Member, Sum, Version},
+    collector::{Collector, DataCentreDigest, Datagram, Envelope, Member, Sum, Version},
     fleet::{Entry, Software},
     forward::{self, Notice, Offer},
     id::{Incarnation, Process, Service, Upstream},
@@ -97,6 +97,7 @@
             data_centre: DataCentreDigest::default(),
             age: Millis(40),
         }],
+        paces: vec![pace::Report { upstream: Digest::of(&upstream(0)), percent: 250, age: 40 }],
     }
 }
 
@@ -149,6 +150,7 @@
                 self.forwarders.record_offer(now, offer, message.data_centre);
             }
             self.balance.update_loads(now, &message.vm, message.loads);
+            self.balance.update_paces(now, balance::pace::Origin::Node, &message.paces);
             self.balance.update_ejections(now, &message.vm, &message.ejected);
             self.quarantine.merge(now, message.suspects);
             self.parts.merge(now, message.parts);
@@ -267,10 +269,16 @@
         member.report(Millis(0), &loads);
         let mut node = Node::new();
         for (index, (changes, length)) in changes.iter().enumerate() {
-            let mut bytes = datagrams[index % datagrams.len()].encode().unwrap();
+            let datagram = datagrams[index % datagrams.len()].clone();
+            let envelope = Envelope { datagram, paces: message().paces };
+            let mut bytes = envelope.encode().unwrap();
             mutate(&mut bytes, changes, *length);
             let (now, from) = (Millis(10), ([10, 0, 0, 2 + index as u8], 7_002).into());
-            match Datagram::decode(&bytes) {
+            let decoded = Envelope::decode(&bytes);
+            if let Ok(Envelope { datagram, paces }) = &decoded {
+                node.balance.update_paces(now, datagram.pace_origin(), paces);
+            }
+            match decoded.map(|envelope| envelope.datagram) {
                 Ok(Datagram::Member { version, loads }) => {
                     collector.record_member(now, from, version, loads);
                 }
@@ -295,7 +303,7 @@
         if let Ok(message) = Message::decode(&bytes) {
             node.handle(Millis(0), message);
         }
-        let _ = Datagram::decode(&bytes);
+        let _ = Envelope::decode(&bytes);
         let _ = origins::Datagram::decode(&bytes);
     }
 }
--- a/serving/tests/peers.rs
+++ b/serving/tests/peers.rs
@@ -6,6 +6,7 @@
 };
 
 use serving::{
+    balance::{self, pace},
     batch::{
         order::{Bucket, Urgency},
         quota::Report,
@@ -47,6 +48,7 @@
         data_centres: Vec::new(),
         offer: None,
         forwarders: Vec::new(),
+        paces: Vec::new(),
     }
 }
 
@@ -91,6 +93,23 @@
     assert_eq!(postcard::from_bytes::<Message>(&new_format).unwrap(), message);
 }
 
+/// Nodes of the last release neither report paces nor read those of others, and a node that knows of no
+/// pace sends the same bytes as they do.
+#[test]
+fn paces_are_left_out_by_older_nodes() {
+    let without = message(2, 1, 1);
+    let paces = vec![pace::Report {
+        upstream: balance::Digest::of(&"engine".into()),
+        percent: 250,
+        age: 40,
+    }];
+    let message = Message { paces: paces.clone(), ..without.clone() };
+    let bytes = message.encode().unwrap();
+    assert_eq!(Message::decode(&bytes).unwrap(), message);
+    let added = postcard::to_stdvec(&paces).unwrap();
+    assert_eq!(bytes[..bytes.len() - added.len()], without.encode().unwrap());
+}
+
 /// Nodes of the last release without forwarding neither offer it nor read the offers of others.
 #[test]
 fn offers_to_forward_are_left_out_by_older_nodes() {
