feat(emulator): upstreams of uneven speed and pace before 88 nodes

Policies for uneven upstreams could not be ranked: engines had no pace, and only shares in time were counted.

Scenario::uneven has 60 engines with factors of 0.55 and 1.2 on the time of their steps, 15% of the time 2.5 times slower, changing every 600 ms, before 88 nodes whose collectors send sums at a given interval. Engines state their load and pace with the first event. Tallies have the time to the first event, requests by engine, and connections opened with an idle time of 3 s.

The interval is 50 ms in production at this size (collector::interval_after); 200 and 300 ms stand for nodes that are short of processor time. The test compares late shares with and without stated paces.

--- a/standins/src/bin/emulate.rs
+++ b/standins/src/bin/emulate.rs
@@ -16,6 +16,9 @@
     /// Prints the default scenario as JSON and ends.
     #[bpaf(switch)]
     default: bool,
+    /// Plays upstreams of uneven speed and pace before 88 nodes.
+    #[bpaf(switch)]
+    uneven: bool,
     /// Scenarios as JSON; the default one where none is given. Fields that are left out have their
     /// defaults.
     #[bpaf(positional("FILE"), many)]
@@ -38,9 +41,16 @@
         return Ok(());
     }
     println!(
-        "| scenario | schedule | worth | online in time, late, refused | batch in time, late | pauses an item | messages a node and s |"
+        "| scenario | schedule | worth | online in time, late, refused | batch in time, late | pauses an item | messages a node and s | first event p50, p99 ms | busiest over mean | connections, pairs a day |"
     );
-    println!("| --- | --- | --- | --- | --- | --- | --- |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    if options.uneven {
+        for collect_ms in [50, 200, 300] {
+            let name = format!("uneven, collectors every {collect_ms} ms");
+            compare(&name, &Scenario::uneven(collect_ms), options.seeds);
+        }
+        return Ok(());
+    }
     if options.files.is_empty() {
         compare("default", &Scenario::default(), options.seeds);
     }
@@ -70,7 +80,7 @@
     let share = |part: u32, count: u32| f64::from(part) / f64::from(count.max(1));
     let seconds = (scenario.length_ms + scenario.tail_ms) as f64 / 1_000.0;
     println!(
-        "| {name} | {schedule} | {:.3} | {:.3} {:.3} {:.3} | {:.3} {:.3} | {:.2} | {:.0} |",
+        "| {name} | {schedule} | {:.3} | {:.3} {:.3} {:.3} | {:.3} {:.3} | {:.2} | {:.0} | {} {} | {:.2} | {} {} |",
         tally.worth(),
         share(online.in_time, online.count),
         share(online.late + online.lost_packet, online.count),
@@ -79,5 +89,10 @@
         share(batch.late, batch.count),
         share(tally.pauses, batch.count),
         tally.messages as f64 / seconds / scenario.nodes as f64 / seeds as f64,
+        tally.first_ms_within(0.5),
+        tally.first_ms_within(0.99),
+        tally.busiest_over_mean(),
+        tally.connections / seeds,
+        tally.pairs / seeds,
     );
 }
--- a/standins/src/emulator/engine.rs
+++ b/standins/src/emulator/engine.rs
@@ -48,6 +48,11 @@
         self.queue.push_back(run);
     }
 
+    /// Requests that run and those that wait.
+    pub(super) fn load(&self) -> (u32, u32) {
+        (self.running.len() as u32, self.queue.len() as u32)
+    }
+
     /// Ends a request whose caller doesn't want it any more. Returns the tokens that it made.
     pub(super) fn cancel(&mut self, work: Work) -> u32 {
         self.queue.retain(|run| run.work != work);
--- a/standins/src/emulator/fleet.rs
+++ b/standins/src/emulator/fleet.rs
@@ -4,7 +4,10 @@
 
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use serving::{
-    balance::{self, Class, Criteria, Loads, Outcome},
+    balance::{
+        self, Class, Criteria, Loads, Outcome,
+        pace::{self, Origin},
+    },
     batch::{
         quota::{self, Report},
         schedule,
@@ -25,6 +28,8 @@
 
 /// How long a node takes to see that an engine has died under a request.
 const DEATH_SEEN_MS: u64 = 5;
+/// How long nodes keep an idle connection: `idle_ms` less `idle_margin_ms` of `upstream::Settings`.
+const IDLE_MS: u64 = 3_000;
 /// The longest part of a caller's remaining time for which it stays away when it is asked to.
 const RETURN_SHARE: u64 = 3;
 
@@ -36,11 +41,13 @@
     Arrive(usize, Run),
     Cancel(usize, Work),
     First(usize),
+    /// The head of an answer.
+    Head(Work, balance::Stated),
     Done(Work),
     Died(Work),
     News(usize, usize, Loads, Vec<(u16, Report)>),
     /// A datagram of the second node reaches the first one.
-    Collect(usize, usize, Datagram),
+    Collect(usize, usize, Datagram, Vec<pace::Report>),
 }
 
 struct Node {
@@ -64,6 +71,9 @@
     events: BTreeMap<u64, Vec<Event>>,
     tally: Tally,
     now: u64,
+    seed: u64,
+    /// By node and engine: when each idle connection is closed.
+    idle: BTreeMap<(usize, usize), Vec<u64>>,
 }
 
 impl<'a> Fleet<'a> {
@@ -112,8 +122,10 @@
             service,
             day,
             events,
-            tally: Tally::default(),
+            tally: Tally { sends: vec![0; count], ..Tally::default() },
             now: 0,
+            seed,
+            idle: BTreeMap::new(),
         }
     }
 
@@ -134,6 +146,10 @@
             self.send_news(now);
             self.send_loads(now);
         }
+        self.tally.pairs = self.idle.len() as u64;
+        let first_ms = |(call, request): (&Call, &Request)| Some((call.first? - request.at) as u32);
+        self.tally.first_ms =
+            self.calls.iter().zip(&self.day.requests).filter_map(first_ms).collect();
         self.tally.online = account::online(self.scenario, &self.day, &self.calls);
         let items = self.owners.iter().flat_map(|owner| &owner.items);
         self.tally.batch = account::batch(self.scenario, items);
@@ -167,6 +183,7 @@
             Event::First(index) => {
                 self.calls[index].first.get_or_insert(now);
             }
+            Event::Head(work, stated) => self.record_head(now, work, stated),
             Event::Done(work) => match work {
                 Work::Online(index) => {
                     self.calls[index].done = true;
@@ -194,7 +211,9 @@
                     node.quota.apply_report(partition, report);
                 }
             }
-            Event::Collect(to, from, datagram) => self.collect(now, to, from, datagram),
+            Event::Collect(to, from, datagram, paces) => {
+                self.collect(now, to, from, datagram, &paces);
+            }
         }
     }
 
@@ -223,6 +242,8 @@
             Ok(pick) => {
                 let engine = self.index[&pick.upstream];
                 self.calls[index].pick = Some((node, pick));
+                self.tally.sends[engine] += 1;
+                self.connect(now, node, engine);
                 let tokens = events * self.scenario.engine.stride;
                 let run = Run::new(Work::Online(index), self.scenario.online.prompt_tokens, tokens);
                 self.later(now + self.link(node, engine), Event::Arrive(engine, run));
@@ -243,15 +264,48 @@
 
     fn end_call(&mut self, now: u64, index: usize, outcome: Outcome) {
         if let Some((node, pick)) = self.calls[index].pick.take() {
+            self.disconnect(now, node, self.index[&pick.upstream], outcome);
             self.nodes[node].balance.finish(Millis(now), &pick, outcome);
         }
     }
 
+    /// Takes an idle connection, the most recently used one first, or opens one.
+    fn connect(&mut self, now: u64, node: usize, engine: usize) {
+        let idle = self.idle.entry((node, engine)).or_default();
+        idle.retain(|closes_at| *closes_at > now);
+        if idle.pop().is_none() {
+            self.tally.connections += 1;
+        }
+    }
+
+    /// Keeps the connection of a complete answer; a request that was cancelled closes its own.
+    fn disconnect(&mut self, now: u64, node: usize, engine: usize, outcome: Outcome) {
+        if outcome == Outcome::Succeeded {
+            self.idle.entry((node, engine)).or_default().push(now + IDLE_MS);
+        }
+    }
+
+    fn record_head(&mut self, now: u64, work: Work, stated: balance::Stated) {
+        let (node, pick) = match work {
+            Work::Online(index) => match &self.calls[index].pick {
+                Some((node, pick)) => (*node, pick),
+                None => return,
+            },
+            Work::Item(owner, item) => match self.owners[owner].pick(item) {
+                Some(pick) => (self.owners[owner].node, pick),
+                None => return,
+            },
+        };
+        self.nodes[node].balance.record_stated(Millis(now), pick, stated);
+    }
+
     fn item_ran(&mut self, now: u64, work: Work, events: u32, outcome: Outcome) {
         let Work::Item(owner, item) = work else { return };
         let owner = &mut self.owners[owner];
         if let Some(pick) = owner.end_run(item, now, events) {
-            self.nodes[owner.node].balance.finish(Millis(now), &pick, outcome);
+            let node = owner.node;
+            self.disconnect(now, node, self.index[&pick.upstream], outcome);
+            self.nodes[node].balance.finish(Millis(now), &pick, outcome);
         }
     }
 
@@ -263,13 +317,21 @@
                 }
                 continue;
             };
-            for event in self.engines[engine].advance(now, &self.scenario.engine, factor) {
+            let noise = self.scenario.noise.factor(self.seed, engine, now);
+            for event in self.engines[engine].advance(now, &self.scenario.engine, factor * noise) {
                 let (engine::Event::First(work) | engine::Event::Done(work)) = event;
                 let node = match work {
                     Work::Online(index) => self.calls[index].pick.as_ref().map(|(node, _)| *node),
                     Work::Item(owner, _) => Some(self.owners[owner].node),
                 };
                 let at = now + 1 + node.map_or(0, |node| self.link(node, engine));
+                if matches!(event, engine::Event::First(_)) && self.scenario.states_load {
+                    let (running, waiting) = self.engines[engine].load();
+                    let slots = self.scenario.engine.slots as u32;
+                    let pace = Some((100.0 * noise).round() as u32);
+                    let stated = balance::Stated { running, waiting, slots, pace };
+                    self.later(at, Event::Head(work, stated));
+                }
                 match (event, work) {
                     (engine::Event::First(_), Work::Online(index)) => {
                         self.later(at, Event::First(index));
@@ -327,6 +389,7 @@
             let index = entry.item.index as usize;
             let engine = self.index[&pick.upstream];
             self.owners[owner].started(index, now, pick);
+            self.connect(now, node, engine);
             let item = &self.owners[owner].items[index];
             let stride = self.scenario.engine.stride;
             let prompt = self.scenario.batch.prompt_tokens + item.made * stride;
@@ -389,10 +452,16 @@
             let node = &mut self.nodes[from];
             node.collector.expire(Millis(now));
             let loads = node.balance.own_loads().clone();
-            if let Some((version, loads)) = node.member.report(Millis(now), &loads) {
+            let since = Millis(now.saturating_sub(interval));
+            let paces = node.balance.pace_reports(Millis(now), since, Origin::Own);
+            let report = match paces.is_empty() {
+                true => node.member.report(Millis(now), &loads),
+                false => Some(node.member.report_now(Millis(now), &loads)),
+            };
+            if let Some((version, loads)) = report {
                 for to in self.collectors(own) {
                     let datagram = Datagram::Member { version, loads: loads.clone() };
-                    self.send_datagram(now, to, from, datagram);
+                    self.send_datagram(now, to, from, datagram, paces.clone());
                 }
             }
             if !self.nodes[from].collector.has_members() {
@@ -403,31 +472,49 @@
             let sum = self.nodes[from].collector.member_sum();
             // Collectors of the same rank exchange sums.
             for to in (0..data_centres).filter(|other| *other != own) {
+                let paces = self.nodes[from].balance.pace_reports(Millis(now), since, Origin::Node);
                 let Some(to) = self.collectors(to).nth(from / data_centres) else { continue };
                 let datagram = Datagram::DataCentre { version, data_centre, sum: sum.clone() };
-                self.send_datagram(now, to, from, datagram);
+                self.send_datagram(now, to, from, datagram, paces);
             }
             let sum = self.nodes[from].collector.fleet_sum(data_centre);
             let members: Vec<_> = self.nodes[from].collector.members().collect();
+            let paces = self.nodes[from].balance.pace_reports(Millis(now), since, Origin::Fleet);
             for (member, included) in members {
                 let datagram = Datagram::Fleet { version, included, sum: sum.clone() };
-                self.send_datagram(now, usize::from(member.port()), from, datagram);
+                self.send_datagram(now, usize::from(member.port()), from, datagram, paces.clone());
             }
         }
     }
 
-    fn send_datagram(&mut self, now: u64, to: usize, from: usize, datagram: Datagram) {
+    fn send_datagram(
+        &mut self,
+        now: u64,
+        to: usize,
+        from: usize,
+        datagram: Datagram,
+        paces: Vec<pace::Report>,
+    ) {
         if to != from {
             self.tally.messages += 1;
             if self.rng.random::<f64>() < self.scenario.news.loss {
                 return;
             }
         }
-        self.later(now + 1 + self.link(from, to), Event::Collect(to, from, datagram));
+        self.later(now + 1 + self.link(from, to), Event::Collect(to, from, datagram, paces));
     }
 
-    fn collect(&mut self, now: u64, to: usize, from: usize, datagram: Datagram) {
+    fn collect(
+        &mut self,
+        now: u64,
+        to: usize,
+        from: usize,
+        datagram: Datagram,
+        paces: &[pace::Report],
+    ) {
         let node = &mut self.nodes[to];
+        let origin = datagram.pace_origin();
+        node.balance.update_paces(Millis(now), origin, paces);
         let sender = ([10, 0, 0, 1], from as u16).into();
         match datagram {
             Datagram::Member { version, loads } => {
--- a/standins/src/emulator/mod.rs
+++ b/standins/src/emulator/mod.rs
@@ -19,7 +19,7 @@
 mod scenario;
 mod tally;
 
-pub use scenario::{Batch, Engine, News, Online, Outage, Replica, Scenario, Shape};
+pub use scenario::{Batch, Engine, News, Noise, Online, Outage, Replica, Scenario, Shape};
 pub use tally::{Account, Tally};
 
 /// Plays one day with the decisions of the nodes.
--- a/standins/src/emulator/owner.rs
+++ b/standins/src/emulator/owner.rs
@@ -121,6 +121,10 @@
         Some(run.pick)
     }
 
+    pub(super) fn pick(&self, index: usize) -> Option<&Pick> {
+        self.items[index].run.as_ref().map(|run| &run.pick)
+    }
+
     pub(super) fn upstream(&self, work: Work) -> Option<&Upstream> {
         let Work::Item(_, index) = work else { return None };
         self.items[index].run.as_ref().map(|run| &run.pick.upstream)
--- a/standins/src/emulator/scenario.rs
+++ b/standins/src/emulator/scenario.rs
@@ -1,5 +1,6 @@
 //! What is emulated.
 
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use serde::{Deserialize, Serialize};
 use serving::{balance, batch};
 
@@ -21,6 +22,9 @@
     pub news: News,
     pub engine: Engine,
     pub replicas: Vec<Replica>,
+    pub noise: Noise,
+    /// Engines state their load and pace with the first event of each answer.
+    pub states_load: bool,
     /// Times at which no node runs.
     pub nodes_away: Vec<Outage>,
     pub online: Online,
@@ -46,6 +50,8 @@
             replicas: (0..9)
                 .map(|index| Replica::new(if index % 3 == 2 { 1.3 } else { 1.0 }))
                 .collect(),
+            noise: Noise::default(),
+            states_load: false,
             nodes_away: Vec::new(),
             online: Online::default(),
             batch: Batch::default(),
@@ -56,6 +62,64 @@
     }
 }
 
+impl Scenario {
+    /// 88 nodes in four data centres before 60 engines with factors of 0.55 and 1.2 on the time of
+    /// their steps, which slow down at random and state their load. Collectors exchange loads every
+    /// `collect_ms`.
+    pub fn uneven(collect_ms: u64) -> Scenario {
+        let speed = |index: usize| if index.is_multiple_of(4) { 0.55 } else { 1.2 };
+        Scenario {
+            nodes: 88,
+            link_ms: 1,
+            news: News { interval_ms: 450, fan_out: 18, collect_ms, ..News::default() },
+            // Engine `index` is in data centre `index % 4`. The fast ones are spread over all four.
+            replicas: (0..60).map(|index| Replica::new(speed(index / 4 + index % 4))).collect(),
+            noise: Noise { share: 0.15, factor: 2.5, period_ms: 600 },
+            states_load: true,
+            online: Online {
+                per_s: 300.0,
+                prompt_tokens: 2_500,
+                events: 19.0,
+                ..Online::default()
+            },
+            batch: Batch { jobs_per_s: 1.3, ..Batch::default() },
+            ..Scenario::default()
+        }
+    }
+}
+
+/// Random slowdowns of single engines.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Noise {
+    /// Share of the time for which an engine is slow.
+    pub share: f64,
+    /// Factor on the time of its steps while it is slow.
+    pub factor: f64,
+    /// Time after which it is drawn again whether an engine is slow.
+    pub period_ms: u64,
+}
+
+impl Default for Noise {
+    fn default() -> Noise {
+        Noise { share: 0.0, factor: 1.0, period_ms: 600 }
+    }
+}
+
+impl Noise {
+    /// The factor of an engine at `now`. Engines change at different times.
+    pub(super) fn factor(&self, seed: u64, engine: usize, now: u64) -> f64 {
+        if self.share == 0.0 {
+            return 1.0;
+        }
+        let seed = seed ^ ((engine as u64 + 1) << 40);
+        let phase = SmallRng::seed_from_u64(seed).random_range(0..self.period_ms);
+        let period = (now + phase) / self.period_ms;
+        let draw: f64 = SmallRng::seed_from_u64(seed ^ (period + 1)).random();
+        if draw < self.share { self.factor } else { 1.0 }
+    }
+}
+
 /// How nodes tell each other their loads.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/standins/src/emulator/tally.rs
+++ b/standins/src/emulator/tally.rs
@@ -42,6 +42,14 @@
     pub pauses: u32,
     /// Messages with news between nodes.
     pub messages: u64,
+    /// Milliseconds from the arrival of each online request to its first event.
+    pub first_ms: Vec<u32>,
+    /// Online requests by engine.
+    pub sends: Vec<u32>,
+    /// Connections that nodes opened to engines.
+    pub connections: u64,
+    /// Pairs of node and engine between which a connection was opened.
+    pub pairs: u64,
 }
 
 impl Tally {
@@ -51,6 +59,21 @@
         all += &self.batch;
         all.worth()
     }
+
+    /// Time to the first event that `share` of the online requests with one stay within.
+    pub fn first_ms_within(&self, share: f64) -> u32 {
+        let mut sorted = self.first_ms.clone();
+        sorted.sort_unstable();
+        let last = sorted.len().saturating_sub(1);
+        sorted.get((last as f64 * share).round() as usize).copied().unwrap_or_default()
+    }
+
+    /// Online requests of the engine that got the most, relative to the mean.
+    pub fn busiest_over_mean(&self) -> f64 {
+        let sum: u32 = self.sends.iter().sum();
+        let most = self.sends.iter().max().copied().unwrap_or_default();
+        f64::from(most) * self.sends.len() as f64 / f64::from(sum.max(1))
+    }
 }
 
 impl AddAssign<&Tally> for Tally {
@@ -59,5 +82,12 @@
         self.batch += &other.batch;
         self.pauses += other.pauses;
         self.messages += other.messages;
+        self.first_ms.extend(&other.first_ms);
+        self.sends.resize(self.sends.len().max(other.sends.len()), 0);
+        for (sum, count) in self.sends.iter_mut().zip(&other.sends) {
+            *sum += count;
+        }
+        self.connections += other.connections;
+        self.pairs += other.pairs;
     }
 }
--- a/standins/tests/emulator.rs
+++ b/standins/tests/emulator.rs
@@ -55,3 +55,19 @@
     let share = f64::from(tally.online.lost_packet) / f64::from(tally.online.count);
     assert!((0.03..0.2).contains(&share), "{share}");
 }
+
+/// Reports are so old that nodes which all choose the least loaded upstream overrun it, as they do without
+/// paces.
+#[test]
+fn uneven_upstreams_are_not_overrun() {
+    let mut scenario = Scenario { length_ms: 11_600, tail_ms: 1_000, ..Scenario::uneven(200) };
+    scenario.batch.jobs_per_s = 0.0;
+    let late = |scenario: &Scenario| {
+        let tally = play(scenario, 1);
+        f64::from(tally.online.late) / f64::from(tally.online.count)
+    };
+    let stated = late(&scenario);
+    scenario.states_load = false;
+    let unstated = late(&scenario);
+    assert!(stated < 0.6 * unstated, "{stated} with paces, {unstated} without");
+}
