fix(exchange): refuse requests that would wait beyond the time that they have left

What callers saw: a request that was sent again near its deadline could be put into the queue of an upstream, ran there for nobody, and ended as failed instead of as refused.

Cause: the wait that a choice allows was a share of the route's objective, whatever time was left.

Change: it is a share of the objective or of the time to the deadline, whichever is less. A request that waits at an upstream already is not refused: it may have run, and a refusal says that it has not.

--- a/serving/src/exchange/driver.rs
+++ b/serving/src/exchange/driver.rs
@@ -463,7 +463,7 @@
         if let Some(retry_after) = self.context.parts().remaining_block(now, prompt) {
             return Err(Refusal::Blocked { retry_after });
         }
-        let objective = self.routed.route.latency_objective;
+        let objective = self.state.objective_at(now);
         let service = &self.routed.service;
         let choose = |version| {
             let excluded = &self.state.excluded;
--- a/serving/src/exchange/state.rs
+++ b/serving/src/exchange/state.rs
@@ -65,6 +65,8 @@
     attempts: u32,
     /// Time by which the request must end.
     deadline: Millis,
+    /// Latency objective of the route.
+    objective: Millis,
     max_silence: Millis,
     /// Last event that the caller has: at first the one from which it resumes, then the last one
     /// that was forwarded.
@@ -86,6 +88,7 @@
             kind,
             attempts,
             deadline,
+            objective,
             max_silence,
             last_event: None,
             has_begun: false,
@@ -104,6 +107,12 @@
         self.deadline
     }
 
+    /// The latency objective of a send at `now`: that of the route, or the time that is left if that is
+    /// less. A request that would still be in the queue of an upstream at its deadline is refused.
+    pub fn objective_at(&self, now: Millis) -> Millis {
+        self.objective.min(self.deadline - now)
+    }
+
     pub fn is_retryable(&self) -> bool {
         self.kind.is_retryable()
     }
--- a/serving/tests/balance.rs
+++ b/serving/tests/balance.rs
@@ -444,6 +444,26 @@
     assert_eq!(count_admitted(&mut state, 900_000), 2 * SLOTS);
 }
 
+/// All slots are in use and a request waits some 4 ms for the next one: a caller that waits 10 ms more is
+/// refused, one with its whole objective left isn't.
+#[test]
+fn request_that_would_wait_beyond_the_time_left_is_refused() {
+    let mut state = state(1);
+    answer_requests(&mut state, &[30]);
+    for _ in 0..SLOTS {
+        choose(&mut state, 900_000, Class::Online).unwrap();
+    }
+    let (service, excluded) = (Service::from("model"), BTreeSet::new());
+    let mut choose_with = |objective| {
+        let class = Class::Online;
+        let criteria =
+            Criteria { service: &service, class, excluded: &excluded, version: None, objective };
+        state.choose(Millis(900_000), criteria)
+    };
+    assert!(matches!(choose_with(Millis(10)), Err(Refusal::Full { .. })));
+    assert!(choose_with(Millis(300)).is_ok());
+}
+
 /// With requests of 30 ms each place in the queue takes a few milliseconds, so the queue fills up
 /// to its limit.
 #[test]
--- a/serving/tests/exchange_state.rs
+++ b/serving/tests/exchange_state.rs
@@ -129,6 +129,16 @@
     assert_eq!(fail(&mut state, END.0, 0, Delivery::Refused), Action::End(End::NotRun));
 }
 
+/// A request with little time left must not wait at an upstream as if it had the whole objective.
+#[test]
+fn objective_ends_with_the_deadline() {
+    let state = state(Kind::Idempotent, 3);
+    assert_eq!(state.objective_at(Millis(0)), OBJECTIVE);
+    assert_eq!(state.objective_at(END - OBJECTIVE), OBJECTIVE);
+    assert_eq!(state.objective_at(END - Millis(40)), Millis(40));
+    assert_eq!(state.objective_at(END + Millis(1)), Millis(0));
+}
+
 #[test]
 fn silent_upstream_is_awaited_until_the_deadline_if_no_retry_is_possible() {
     let mut at_most_once = state(Kind::AtMostOnce, 3);
--- a/standins/tests/emulator.rs
+++ b/standins/tests/emulator.rs
@@ -1,6 +1,6 @@
 //! The emulator earns what its load and fleet allow, and the same each time.
 
-use standins::emulator::{Batch, Online, Outage, Scenario, ideal, play};
+use standins::emulator::{Batch, Online, Outage, Scenario, Tally, ideal, play};
 
 /// A short day, so that the test stays fast.
 fn day() -> Scenario {
@@ -71,3 +71,19 @@
     let unstated = late(&scenario);
     assert!(stated < 0.6 * unstated, "{stated} with paces, {unstated} without");
 }
+
+/// Bursts of 1.87 times the mean for 2.4 s every 5.8 s, while batch items hold free slots: the items are
+/// paused before online requests are late.
+#[test]
+fn batch_items_give_way_in_bursts() {
+    let mut scenario = Scenario { length_ms: 11_600, tail_ms: 1_000, ..Scenario::uneven(50) };
+    scenario.batch.jobs_per_s = 3.0;
+    let with_items = play(&scenario, 1);
+    scenario.batch.jobs_per_s = 0.0;
+    let without = play(&scenario, 1);
+    let late = |tally: &Tally| {
+        f64::from(tally.online.late + tally.online.refused) / f64::from(tally.online.count)
+    };
+    assert!(with_items.pauses > 0, "{with_items:?}");
+    assert!(late(&with_items) < late(&without) + 0.02, "{} {}", late(&with_items), late(&without));
+}
