fix(exchange): end a resumed run whose upstream is another process than the registry names

Callers that resumed a stream got the events of another version when an upstream had restarted under its id with that version and its new registry entry had not been read (up to 0.4 s): the node sent the resume there for the version in the old entry. The same held for items of batch jobs.

While a resumed run waits for its first event, the node asks the upstream for GET /api/report and ends the run before an event counts if born differs from the entry, or if the report doesn't come within 500 ms. Nothing is asked if the entry states no born; a report without it passes, as does a response that came through another node. Requests that begin ask nothing.

--- a/serving/src/batch/run.rs
+++ b/serving/src/batch/run.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     balance::Outcome,
-    exchange::{Context, Permit, events::Splitter, state::health_outcome},
+    exchange::{Context, Permit, events::Splitter, process, state::health_outcome},
     time::Millis,
     uplink::{Sign, check_path},
     upstream::{Failure, FailureKind, Options, Request},
@@ -145,6 +145,9 @@
             StatusCode::UNPROCESSABLE_ENTITY => return Ok(RunEnd::Impossible),
             status => return Err(Failure::broken(format!("the upstream answered {status}"))),
         }
+        if send.resume_after.is_some_and(|event| event > 0) {
+            process::check(&context, &self.permit.pick, &response.parts).await?;
+        }
         let mut body = response.body;
         let mut splitter = Splitter::default();
         let mut has_events = false;
--- a/serving/src/exchange/driver.rs
+++ b/serving/src/exchange/driver.rs
@@ -22,7 +22,7 @@
 use super::{
     Context, RoutedRequest,
     events::{Event, Splitter},
-    origin,
+    origin, process,
     state::{self, Action, End, Silence, State},
     task::{Permit, report_crash},
     trace::Trace,
@@ -526,7 +526,16 @@
                 has_events: false,
                 first: None,
             };
-            source.first = source.next().await?;
+            // Events that the caller has are the only ones that other software may contradict.
+            let is_resumed = resume_after.is_some_and(|event| event > 0);
+            let check = async {
+                match is_resumed {
+                    true => process::check(&context, &pick, &answer.parts).await,
+                    false => Ok(()),
+                }
+            };
+            let (first, ()) = tokio::try_join!(source.next(), check)?;
+            source.first = first;
             Ok(Received::Stream { parts: answer.parts, source: Box::new(source) })
         })
     }
--- a/serving/src/exchange/mod.rs
+++ b/serving/src/exchange/mod.rs
@@ -5,6 +5,7 @@
 //! * `driver` executes these decisions: it sends the request and waits for answers.
 //! * `events` splits a stream of bytes into server-sent events.
 //! * `origin` selects the software that may go on with a stream, and records what begins one.
+//! * `process` checks that the upstream that goes on is the process that the registry names.
 //! * `task` starts the driver of a request, and `relay` forwards the events of a stream to the
 //!   caller.
 //! * `trace` writes one log line for each request.
@@ -13,6 +14,7 @@
 mod driver;
 pub mod events;
 mod origin;
+pub(crate) mod process;
 mod relay;
 pub mod state;
 mod task;
--- a/serving/src/upstream/call.rs
+++ b/serving/src/upstream/call.rs
@@ -99,6 +99,12 @@
         Failure { kind, delivery: Delivery::Refused, message: message.to_string() }
     }
 
+    /// The response comes from another process than the one in the registry.
+    pub(crate) fn restarted(expected: u64, found: u64) -> Failure {
+        let message = format!("the upstream's process started at {found}, not at {expected}");
+        Failure { kind: FailureKind::Misdirected, delivery: Delivery::Sent, message }
+    }
+
     /// The connection closed early, or the response is invalid or belongs to another request.
     pub(crate) fn broken(message: impl Into<String>) -> Failure {
         Failure { kind: FailureKind::Broken, delivery: Delivery::Sent, message: message.into() }
--- a/serving/src/upstream/mod.rs
+++ b/serving/src/upstream/mod.rs
@@ -108,4 +108,14 @@
 
     /// Reads the protocol information from the head of a response.
     fn decode(&self, head: &http::response::Parts) -> Head;
+
+    /// Where an upstream reports on itself, if it does.
+    fn report_target(&self) -> Option<Uri> {
+        None
+    }
+
+    /// Start of the upstream's process in Unix milliseconds, if the report states it.
+    fn read_started(&self, _report: &[u8]) -> Option<u64> {
+        None
+    }
 }
