perf(origins): ask other nodes about a resume only if a read of the registry doesn't settle it

Since resumes wait for a read of the registry, a resume of unknown origin also asked all other nodes at once, though before no datagram was sent while a service had a single version. A node that knows a single version now gives the read 60 ms before it asks; the answer stays the same. The 33 tests of platform/tests/versions.rs pass; the number of datagrams was not measured.

--- a/serving/src/origins/task.rs
+++ b/serving/src/origins/task.rs
@@ -27,6 +27,9 @@
 const REPLY_TIMEOUT: Duration = Duration::from_millis(100);
 /// How long a resume waits for a read of the registry. A slow log answers within 250 ms.
 const READ_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long a resume waits for a read of the registry before it asks other nodes, if the service has
+/// a single version as far as this node knows. A read takes a few milliseconds, at most every 30 ms.
+const READ_HEAD_START: Duration = Duration::from_millis(60);
 /// Delay after which a question is sent again, because datagrams may be lost.
 const REPEAT_DELAY: Duration = Duration::from_millis(30);
 /// Limit of calls that wait to be sent; a call beyond it counts as unanswered.
@@ -118,7 +121,16 @@
         let asked_at = self.clock.boot_time();
         let service = service.cloned();
         let lifetime = service.as_ref().map(|service| self.lifetime(service)).unwrap_or_default();
-        let mut answer = pin!(self.ask(request, service.clone().unwrap_or_default(), lifetime));
+        // Usually the read settles the matter, and no datagram is sent.
+        let is_single = service.as_ref().is_some_and(|service| {
+            self.fleet().only_version(asked_at, service, lifetime).is_some()
+        });
+        let head_start = if is_single { READ_HEAD_START } else { Duration::ZERO };
+        let asked_service = service.clone().unwrap_or_default();
+        let mut answer = pin!(async move {
+            tokio::time::sleep(head_start).await;
+            self.ask(request, asked_service, lifetime).await
+        });
         let mut read = pin!(tokio::time::timeout(READ_TIMEOUT, self.reads.wait(asked_at)));
         let (mut claims, mut is_confirmed) = (None, service.is_none().then_some(false));
         while claims.is_none() || is_confirmed.is_none() {
