--- a/serving/src/exchange/relay.rs
+++ b/serving/src/exchange/relay.rs
@@ -7,7 +7,7 @@
 };
 
 use bytes::Bytes;
-use tokio::sync::mpsc;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 use tokio_stream::Stream;
 
 use super::{
@@ -15,8 +15,11 @@
     driver::{Driver, Output},
 };
 
-/// Maximum number of events buffered for a caller that reads slowly.
-const BUFFER_EVENTS: usize = 16;
+/// Maximum size of the events buffered for a caller that reads slowly. A stream of usual length fits, so that
+/// its upstream is free once it has made the last event. The largest event fits as well.
+const BUFFER_BYTES: usize = 64 << 10;
+/// Maximum number of these events.
+const BUFFER_EVENTS: usize = 256;
 
 /// Error: the stream can't be completed. The caller's connection is closed without the end of the
 /// body, so that the answer doesn't look complete.
@@ -26,7 +29,11 @@
 
 /// What a relay forwards.
 enum Chunk {
-    Event(Bytes),
+    Event {
+        bytes: Bytes,
+        /// Returns the room in the buffer when the event is taken out of it.
+        room: OwnedSemaphorePermit,
+    },
     /// The stream is complete. A relay that ends without this has cut the stream off.
     End,
 }
@@ -48,9 +55,12 @@
             return Poll::Ready(None);
         }
         let chunk = task::ready!(self.chunk_rx.poll_recv(context));
-        self.has_ended = !matches!(chunk, Some(Chunk::Event(_)));
+        self.has_ended = !matches!(chunk, Some(Chunk::Event { .. }));
         Poll::Ready(match chunk {
-            Some(Chunk::Event(bytes)) => Some(Ok(bytes)),
+            Some(Chunk::Event { bytes, room }) => {
+                drop(room);
+                Some(Ok(bytes))
+            }
             Some(Chunk::End) => None,
             None => Some(Err(Truncated)),
         })
@@ -60,7 +70,8 @@
 /// Forwards a stream to the caller in a task of its own.
 pub(super) fn start(context: Arc<Context>, driver: Driver) -> Events {
     let (chunk_tx, chunk_rx) = mpsc::channel(BUFFER_EVENTS);
-    tokio::spawn(Relay { context, driver, chunk_tx }.run());
+    let room = Arc::new(Semaphore::new(BUFFER_BYTES));
+    tokio::spawn(Relay { context, driver, chunk_tx, room }.run());
     Events { chunk_rx, has_ended: false }
 }
 
@@ -69,6 +80,8 @@
     context: Arc<Context>,
     driver: Driver,
     chunk_tx: mpsc::Sender<Chunk>,
+    /// Bytes that are left in the buffer.
+    room: Arc<Semaphore>,
 }
 
 impl Relay {
@@ -80,12 +93,12 @@
             };
             match output {
                 Output::Event(bytes) => {
-                    if !self.forward(Chunk::Event(bytes)).await {
+                    if !self.forward(Some(bytes)).await {
                         return self.record_disconnect();
                     }
                 }
                 Output::Complete => {
-                    self.forward(Chunk::End).await;
+                    self.forward(None).await;
                     return;
                 }
                 // The driver of a stream that has begun produces no other answer.
@@ -94,11 +107,26 @@
         }
     }
 
-    /// Forwards `chunk` to the caller. Returns false if the caller disconnected or didn't read it
-    /// before the deadline.
-    async fn forward(&mut self, chunk: Chunk) -> bool {
+    /// Forwards an event, or the end of the stream, to the caller. Returns false if the caller
+    /// disconnected or the buffer had no room before the deadline.
+    async fn forward(&mut self, event: Option<Bytes>) -> bool {
         let remaining = (self.driver.deadline() - self.context.clock.now()).duration();
-        matches!(tokio::time::timeout(remaining, self.chunk_tx.send(chunk)).await, Ok(Ok(())))
+        let sending = async {
+            let chunk = match event {
+                Some(bytes) => {
+                    let size = bytes.len().min(BUFFER_BYTES) as u32;
+                    let room = Arc::clone(&self.room).acquire_many_owned(size).await.ok()?;
+                    Chunk::Event { bytes, room }
+                }
+                None => Chunk::End,
+            };
+            self.chunk_tx.send(chunk).await.ok()
+        };
+        let closed = self.chunk_tx.closed();
+        tokio::select! {
+            sent = tokio::time::timeout(remaining, sending) => matches!(sent, Ok(Some(()))),
+            () = closed => false,
+        }
     }
 
     fn record_disconnect(&mut self) {
