fix(allowance): accept any number as a limit or usage

A datagram or a configuration with a rate or burst that is negative or not a number ended the request's task, and in the datagram's case the task that asks and answers, by a panic in the division of the budget (found by the new test in `malformed`: "min > max, or either was NaN"). Limits are now brought into the range from 0 to 1e9, and a usage that is not a number counts as 0: it would have stayed in the mean that decides on shares.

--- a/serving/src/allowance/budget.rs
+++ b/serving/src/allowance/budget.rs
@@ -19,22 +19,34 @@
 /// Keeps a sum of fractions from reaching the next whole request.
 const ROUNDING: f64 = 1e-3;
 
+/// The largest rate and burst, far above what any deployment serves.
+const MAX_REQUESTS: f64 = 1e9;
+
 /// The configured limit of a workspace.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limit {
-    /// Requests a second.
+    /// Requests a second. Finite and not negative.
     pub rate_per_s: f64,
-    /// Requests beyond the rate that may be sent at once.
+    /// Requests beyond the rate that may be sent at once. Finite and not negative.
     pub burst: f64,
 }
 
 impl From<&Member> for Limit {
     fn from(member: &Member) -> Limit {
-        Limit { rate_per_s: member.rate_per_s, burst: member.burst }
+        Limit::new(member.rate_per_s, member.burst)
     }
 }
 
 impl Limit {
+    /// Configurations and peers may name any number. One that isn't a number counts as 0.
+    pub fn new(rate_per_s: f64, burst: f64) -> Limit {
+        let valid = |value: f64| match value.is_nan() {
+            true => 0.0,
+            false => value.clamp(0.0, MAX_REQUESTS),
+        };
+        Limit { rate_per_s: valid(rate_per_s), burst: valid(burst) }
+    }
+
     /// The largest number of requests that may run in a window of the settings.
     pub fn bound(&self, settings: &Settings) -> f64 {
         let nominal = self.rate_per_s * settings.window_s + self.burst;
--- a/serving/src/allowance/state.rs
+++ b/serving/src/allowance/state.rs
@@ -120,7 +120,7 @@
 impl Pending {
     fn limit(&self) -> Limit {
         let Ask { rate_per_s, burst, .. } = self.ask;
-        Limit { rate_per_s: f64::from(rate_per_s), burst: f64::from(burst) }
+        Limit::new(f64::from(rate_per_s), f64::from(burst))
     }
 
     /// When the ask has to be repeated, given up or forgotten.
@@ -287,7 +287,7 @@
             return answer.clone();
         }
         let nodes = self.nodes_to_state(now);
-        let asked = Limit { rate_per_s: f64::from(ask.rate_per_s), burst: f64::from(ask.burst) };
+        let asked = Limit::new(f64::from(ask.rate_per_s), f64::from(ask.burst));
         let limit = self.limits.get(&ask.workspace).copied().unwrap_or(asked);
         let (verdict, usage) = match (ask.kind, lender) {
             (Kind::Bucket, Lender::Here { since }) => {
@@ -316,6 +316,8 @@
         let limit = pending.limit();
         let holder = self.holders.entry(workspace.clone()).or_default();
         holder.open_ask = holder.open_ask.filter(|open| *open != answer.id);
+        // A peer may send any number; `max` returns the other one if it is none.
+        let usage = f64::from(answer.usage).max(0.0);
         let is_limited = match answer.verdict {
             Verdict::Lent(count) if pending.ask.kind == Kind::Reserve => {
                 holder.add_grant(count, pending.sent_at + GRANT_LIFETIME);
@@ -327,12 +329,12 @@
             }
             Verdict::Lent(count) => {
                 holder.add_grant(count, pending.sent_at + GRANT_LIFETIME);
-                holder.usage = f64::from(answer.usage);
+                holder.usage = usage;
                 true
             }
             Verdict::Full { retry_after } => {
                 holder.refuse(now, retry_after);
-                holder.usage = f64::from(answer.usage);
+                holder.usage = usage;
                 true
             }
             Verdict::NotOwner => {
--- a/serving/tests/malformed.rs
+++ b/serving/tests/malformed.rs
@@ -8,6 +8,8 @@
 };
 use rand::{SeedableRng, rngs::SmallRng};
 use serving::{
+    access,
+    allowance::{self, Answer, Ask, AskId, Kind, Lender, Verdict},
     balance::{self, Class, Criteria, Digest, Load, limit, pace},
     batch::{
         ledger::ItemId,
@@ -296,9 +298,67 @@
         }
     }
 
+    /// Guards against numbers in asks and answers for allowance, or in a configuration, that end a
+    /// node or that a later decision can't cope with.
+    #[test]
+    fn any_numbers_about_allowance_end_no_node(
+        rate in prop::num::f32::ANY,
+        burst in prop::num::f32::ANY,
+        count in any::<u32>(),
+        retry_after in any::<u64>(),
+        usage in prop::num::f32::ANY,
+        is_reserve in any::<bool>(),
+    ) {
+        let (own, peer) = (([10, 0, 0, 1], 1).into(), ([10, 0, 0, 2], 1).into());
+        let settings = allowance::Settings { slack: 20.0, ..allowance::Settings::default() };
+        let mut state = allowance::State::new(settings, Millis(0), own, 1);
+        let kind = if is_reserve { Kind::Reserve } else { Kind::Bucket };
+        let workspace = || "w".into();
+        let ask = Ask {
+            id: AskId(1),
+            workspace: workspace(),
+            kind,
+            count,
+            requests: count,
+            rate_per_s: rate,
+            burst,
+        };
+        state.answer(Millis(9_000), peer, &ask, Lender::Here { since: Millis(1) });
+        let member = access::Member {
+            workspace: workspace(),
+            priority: count,
+            rate_per_s: rate.into(),
+            burst: burst.into(),
+        };
+        let mut shares = allowance::share::State::new(1);
+        for verdict in [Verdict::Lent(count), Verdict::Full { retry_after: Millis(retry_after) }] {
+            let (_, actions) = state.take(Millis(10_000), &member, Lender::Peer(peer));
+            for action in actions {
+                let allowance::Action::Send { datagram, .. } = action else { continue };
+                let allowance::Datagram::Ask(ask) = datagram else { continue };
+                let answer = Answer { id: ask.id, nodes: count, usage, verdict };
+                state.apply(Millis(10_010), &answer);
+            }
+        }
+        state.take(Millis(10_020), &member, Lender::Here { since: Millis(1) });
+        state.take(Millis(10_030), &member, Lender::Unknown);
+        state.tick(Millis(10_500));
+        shares.observe(Millis(1), &service(), Load { online: 99, batch: 0 }, 10);
+        let usage = state.usage(&workspace());
+        prop_assert!(!usage.is_nan());
+        let claim = |usage, workspace_priority| allowance::share::Claim {
+            usage,
+            workspace_priority,
+            route_priority: 0,
+        };
+        shares.admit(Millis(2), &service(), claim(usage, count));
+        prop_assert!(shares.admit(Millis(3), &service(), claim(0.0, 0)));
+    }
+
     /// Bytes that are no datagram at all.
     #[test]
     fn random_bytes_end_no_node(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let _ = allowance::Datagram::decode(&bytes);
         let mut node = Node::new();
         if let Ok(message) = Message::decode(&bytes) {
             node.handle(Millis(0), message);
