--- a/serving/src/balance/pace.rs
+++ b/serving/src/balance/pace.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::time::Millis;
+use crate::{id::Upstream, time::Millis};
 
 use super::Digest;
 
@@ -110,13 +110,14 @@
         &self,
         now: Millis,
         since: Millis,
-        upstream: Digest,
+        upstream: &Upstream,
         farthest: Origin,
     ) -> Option<Report> {
         let stated = self.stated?;
         let is_due = stated.is_news && stated.learned_at >= since && stated.origin <= farthest;
         let age = u16::try_from((now - stated.at).0).ok()?;
-        is_due.then_some(Report { upstream, percent: stated.percent as u16, age })
+        let percent = stated.percent as u16;
+        is_due.then(|| Report { upstream: Digest::of(upstream), percent, age })
     }
 }
 
--- a/serving/src/balance/replica.rs
+++ b/serving/src/balance/replica.rs
@@ -199,13 +199,24 @@
         Candidate { time: (ahead + 1.0) * factor, time_per_request: factor }
     }
 
+    /// Expected time in milliseconds from the send of a request with `in_flight` others at the upstream to
+    /// the end of its answer. `None` where the upstream states no pace or its run time is unknown.
+    pub(super) fn expected_ms(&self, now: Millis, in_flight: u32) -> Option<f64> {
+        let run_ms = self.mean_duration.0.filter(|_| self.pace.is_stated())?;
+        Some(run_ms * self.pace.expected(now) * (1.0 + self.wait_to_run(in_flight)))
+    }
+
+    /// Time in the queue relative to the run time, for a request with `in_flight` others.
+    fn wait_to_run(&self, in_flight: u32) -> f64 {
+        let slots = f64::from(self.entry.slots.max(1));
+        (f64::from(in_flight) - slots + 1.0).max(0.0) / slots
+    }
+
     /// Records that a request was answered after `ms` milliseconds, with `in_flight` others at the
     /// upstream when the request was sent. Returns the estimated run time of the request, without
     /// the time in the queue.
     pub(super) fn observe_answer(&mut self, in_flight: u32, ms: f64) -> f64 {
-        let slots = f64::from(self.entry.slots.max(1));
-        let wait_to_run = (f64::from(in_flight) - slots + 1.0).max(0.0) / slots;
-        let run_ms = ms / (1.0 + wait_to_run);
+        let run_ms = ms / (1.0 + self.wait_to_run(in_flight));
         self.mean_duration.observe(run_ms);
         run_ms
     }
--- a/serving/src/balance/state.rs
+++ b/serving/src/balance/state.rs
@@ -302,6 +302,11 @@
         }
     }
 
+    /// Expected time in milliseconds of the request of `pick`, if its upstream states a pace.
+    pub(crate) fn expected_ms(&self, pick: &Pick) -> Option<f64> {
+        self.replicas.get(&pick.upstream)?.expected_ms(pick.chosen_at, pick.load)
+    }
+
     /// Applies the paces that another node reports.
     pub fn update_paces(&mut self, now: Millis, origin: Origin, reports: &[pace::Report]) {
         for report in reports {
@@ -315,9 +320,10 @@
 
     /// The paces that this node has learned of at `since` or later, from origins up to `farthest`.
     pub fn pace_reports(&self, now: Millis, since: Millis, farthest: Origin) -> Vec<pace::Report> {
-        let reports = self.replicas.iter().filter_map(|(upstream, replica)| {
-            replica.pace.report(now, since, Digest::of(upstream), farthest)
-        });
+        let reports = self
+            .replicas
+            .iter()
+            .filter_map(|(upstream, replica)| replica.pace.report(now, since, upstream, farthest));
         reports.take(MAX_PACE_REPORTS).collect()
     }
 
--- a/serving/src/exchange/task.rs
+++ b/serving/src/exchange/task.rs
@@ -164,9 +164,14 @@
         }
         let criteria = Criteria { service, class, excluded, version, objective };
         let known_crashes = self.parts().revision();
-        let pick = self.balance().choose(now, criteria)?;
+        let (pick, expected_ms) = {
+            let mut balance = self.balance();
+            let pick = balance.choose(now, criteria)?;
+            let expected_ms = balance.expected_ms(&pick);
+            (pick, expected_ms)
+        };
         let context = Arc::clone(self);
-        Ok(Permit { context, pick, outcome: Outcome::Neutral, known_crashes })
+        Ok(Permit { context, pick, outcome: Outcome::Neutral, known_crashes, expected_ms })
     }
 }
 
@@ -189,6 +194,9 @@
                 self.record_limit(pick, head.limit);
                 if let Some(load) = head.load {
                     self.balance().record_stated(self.clock.now(), pick, load);
+                    if let Some(percent) = load.pace {
+                        self.metrics.stated_pace.observe(percent.into());
+                    }
                     let believed = pick.load.saturating_add(1);
                     self.metrics.load_error.observe(believed.abs_diff(load.in_flight()).into());
                 }
@@ -292,6 +300,8 @@
     pub(crate) outcome: Outcome,
     /// What was known of the parts of prompts when the upstream was chosen.
     known_crashes: parts::Revision,
+    /// Expected time of the request in milliseconds, if the upstream states a pace.
+    expected_ms: Option<f64>,
 }
 
 impl Permit {
@@ -317,6 +327,11 @@
 impl Drop for Permit {
     fn drop(&mut self) {
         let now = self.context.clock.now();
+        let is_answer = self.outcome == Outcome::Succeeded && self.pick.class == Class::Online;
+        if let Some(expected_ms) = self.expected_ms.filter(|_| is_answer) {
+            let ms = (now - self.pick.chosen_at).0 as f64;
+            self.context.metrics.time_ratio.observe(ms / expected_ms.max(1.0));
+        }
         self.context.balance().finish(now, &self.pick, self.outcome);
     }
 }
--- a/serving/src/metrics.rs
+++ b/serving/src/metrics.rs
@@ -12,6 +12,11 @@
 /// Upper bounds of the histogram buckets for errors of a load, in requests.
 const LOAD_ERROR_BUCKETS: [f64; 6] = [0.0, 1.0, 2.0, 4.0, 8.0, 16.0];
 
+/// Upper bounds of the histogram buckets for stated paces, in percent.
+const PACE_BUCKETS: [f64; 6] = [50.0, 90.0, 110.0, 150.0, 200.0, 300.0];
+/// Upper bounds of the histogram buckets for measured times relative to the expected ones.
+const TIME_RATIO_BUCKETS: [f64; 7] = [0.25, 0.5, 0.8, 1.25, 2.0, 4.0, 8.0];
+
 /// Labels of a counter: what was counted, such as a route, service or call, and its outcome.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub struct Labels {
@@ -63,6 +68,11 @@
     /// Difference between the requests that this node believed to be at an upstream when it chose it,
     /// the chosen one included, and those that the upstream states in its response.
     pub load_error: Histogram,
+    /// Paces that upstreams state, in percent of the usual time that work takes.
+    pub stated_pace: Histogram,
+    /// Time of a whole answer relative to the one expected when the upstream was chosen, for upstreams that
+    /// state their pace.
+    pub time_ratio: Histogram,
     /// Requests from callers that have not ended.
     pub in_flight: Gauge,
 }
@@ -141,6 +151,14 @@
             "Error of the load by which an upstream was chosen",
             load_error.clone(),
         );
+        let stated_pace = Histogram::new(PACE_BUCKETS);
+        registry.register("stated_pace_percent", "Paces that upstreams state", stated_pace.clone());
+        let time_ratio = Histogram::new(TIME_RATIO_BUCKETS);
+        registry.register(
+            "answer_time_ratio",
+            "Time of an answer relative to the expected time",
+            time_ratio.clone(),
+        );
         let in_flight = Gauge::default();
         registry.register("in_flight", "Requests in flight", in_flight.clone());
         Metrics {
@@ -160,6 +178,8 @@
             time_to_last_byte,
             event_pause,
             load_error,
+            stated_pace,
+            time_ratio,
             in_flight,
         }
     }
