feat(balance): decide by delay and load when requests leave their data centre

A constant penalty of two requests in flight made requests leave while an upstream at home had free slots, which costs bytes and a round trip, and let all nodes leave together once home was fuller by more than that.

balance::locality replaces the constant in least_loaded. It knows the round trip to each data centre (lower quartile of the last connection set-ups, relative to home) and the load and slots by data centre. While home has free slots, requests stay. What home has beyond the level that all data centres would have together leaves as a share, drawn request by request and weighted by slots to spare and gain. Thresholds are random by node, and the start and the end of sending out are apart. A retry after a failure at home leaves at once. While the delay is unknown or no other node reports, and for batch items while home has no free slot, the constant applies as before. Choices within a single data centre are the same as before, draws included.

--- a/serving/src/balance/choice.rs
+++ b/serving/src/balance/choice.rs
@@ -10,12 +10,13 @@
 
 use crate::{
     fleet::Entry,
-    id::{Process, Service, Upstream},
+    id::{DataCentre, Process, Service, Upstream},
     time::Millis,
 };
 
 use super::{
     Settings, State,
+    locality::{Departure, Plan, Reason},
     pace::{self, Candidate},
     replica::Replica,
     request::{Class, Criteria, Pick, Refusal},
@@ -30,6 +31,8 @@
 /// Maximum number of upstreams in a sample. Services with no more upstreams than this are compared
 /// as a whole.
 const SAMPLE_SIZE: usize = 12;
+/// Number of upstreams added to a sample for a request that is sent to another data centre.
+const TARGET_COUNT: usize = 3;
 /// Number of upstreams of a large service that a node favours; enough for the usual load of one
 /// node.
 const FAVOURITE_COUNT: usize = 6;
@@ -41,20 +44,22 @@
     /// request is refused only if no upstream has capacity.
     pub fn choose(&mut self, now: Millis, criteria: Criteria<'_>) -> Result<Pick, Refusal> {
         self.expire(now);
+        let plan = self.plan(now, criteria);
         let favourites = self.favourites(criteria.service);
         let mut admissions = Admissions::new();
         let known =
             self.services.get(criteria.service).map_or(0, |members| members.upstreams.len());
         if known > SAMPLE_SIZE {
-            let sample = self.sample(criteria.service, &favourites);
+            let sample = self.sample(criteria.service, &favourites, plan.target());
             let sample: Vec<&Upstream> = sample.iter().collect();
             let eligible = eligible(&self.replicas, now, criteria, &sample, &self.settings);
             let eligible = self.admitted(now, criteria, eligible, &mut admissions);
             let tie_breakers = self.tie_breakers(eligible.len());
             if let Some(upstream) =
-                self.least_loaded(now, criteria, &favourites, &eligible, &tie_breakers)
+                self.least_loaded(now, criteria, &plan, &favourites, &eligible, &tie_breakers)
             {
-                return Ok(self.add_in_flight(now, upstream, criteria.class));
+                let departure = self.departure(now, criteria, &plan, &eligible, &upstream);
+                return Ok(self.add_in_flight(now, upstream, criteria.class, departure));
             }
         }
         let tie_breakers = self.tie_breakers(known);
@@ -70,7 +75,7 @@
         let eligible: Vec<Upstream> = eligible.into_iter().cloned().collect();
         let eligible = self.admitted(now, criteria, eligible.iter().collect(), &mut admissions);
         let Some(upstream) =
-            self.least_loaded(now, criteria, &favourites, &eligible, &tie_breakers)
+            self.least_loaded(now, criteria, &plan, &favourites, &eligible, &tie_breakers)
         else {
             if admissions.values().any(|is_admitted| !is_admitted) {
                 let retry_after = self.limited_retry_after(now, criteria.service);
@@ -80,7 +85,8 @@
             let (load, slots) = self.occupancy(now, criteria.service);
             return Err(Refusal::Full { in_flight: load.total(), slots, retry_after });
         };
-        Ok(self.add_in_flight(now, upstream, criteria.class))
+        let departure = self.departure(now, criteria, &plan, &eligible, &upstream);
+        Ok(self.add_in_flight(now, upstream, criteria.class, departure))
     }
 
     /// Those of `upstreams` whose rate limit admits the request. Each upstream with capacity is asked
@@ -114,7 +120,13 @@
 
     /// The favourites and a few upstreams selected at random, so that nodes that act on the same
     /// load updates don't all choose the same upstream.
-    fn sample(&mut self, service: &Service, favourites: &BTreeSet<Upstream>) -> Vec<Upstream> {
+    /// If the request is sent to another data centre, some of the upstreams there are included.
+    fn sample(
+        &mut self,
+        service: &Service,
+        favourites: &BTreeSet<Upstream>,
+        target: Option<&DataCentre>,
+    ) -> Vec<Upstream> {
         let mut sample: Vec<Upstream> = favourites.iter().cloned().collect();
         let Some(members) = self.services.get(service) else { return sample };
         let upstreams = &members.upstreams;
@@ -122,6 +134,17 @@
         let drawn = index::sample(&mut self.rng, upstreams.len(), count);
         let drawn = drawn.into_iter().map(|position| &upstreams[position]);
         sample.extend(drawn.filter(|upstream| !favourites.contains(*upstream)).cloned());
+        if let Some(target) = target {
+            let is_there =
+                |upstream: &&Upstream| self.replicas[*upstream].entry.data_centre == *target;
+            let there: Vec<&Upstream> = upstreams.iter().filter(is_there).collect();
+            let count = TARGET_COUNT.min(there.len());
+            let drawn = index::sample(&mut self.rng, there.len(), count).into_iter();
+            let drawn = drawn.map(|position| there[position].clone());
+            let drawn: Vec<Upstream> =
+                drawn.filter(|upstream| !sample.contains(upstream)).collect();
+            sample.extend(drawn);
+        }
         sample
     }
 
@@ -137,6 +160,7 @@
         &self,
         now: Millis,
         criteria: Criteria<'_>,
+        plan: &Plan,
         favourites: &BTreeSet<Upstream>,
         upstreams: &[&Upstream],
         tie_breakers: &[f64],
@@ -149,17 +173,24 @@
         let has_pace = upstreams.iter().any(|upstream| self.replicas[*upstream].pace.is_stated());
         let report_age = self.report_age(now);
         let (mut candidates, mut unseen) = (Vec::new(), 0.0);
+        let is_home_free = upstreams.iter().any(|upstream| {
+            let replica = &self.replicas[*upstream];
+            replica.entry.data_centre == self.data_centre
+                && replica.load().total() < replica.entry.slots
+                && now >= replica.full_until
+        });
         let mut best: Option<(f64, &Upstream)> = None;
         for (upstream, tie_breaker) in upstreams.iter().zip(tie_breakers) {
             let replica = &self.replicas[*upstream];
             if !replica.has_capacity(now, criteria, service_mean, &self.settings) {
                 continue;
             }
-            let distance_penalty = match replica.entry.data_centre == self.data_centre {
-                true => 0.0,
-                false => self.settings.data_centre_bias,
-            };
-            let favour_penalty = match favourites.is_empty() || favourites.contains(*upstream) {
+            let data_centre = &replica.entry.data_centre;
+            let distance_penalty = plan.penalty(data_centre, is_home_free);
+            let is_favoured = favourites.is_empty()
+                || favourites.contains(*upstream)
+                || plan.target() == Some(data_centre);
+            let favour_penalty = match is_favoured {
                 true => 0.0,
                 false => self.settings.favour_bias,
             };
@@ -192,6 +223,35 @@
         best.map(|(_, upstream)| upstream.clone())
     }
 
+    /// Why the request leaves this node's data centre for `chosen`; `None` if it stays.
+    fn departure(
+        &self,
+        now: Millis,
+        criteria: Criteria<'_>,
+        plan: &Plan,
+        compared: &[&Upstream],
+        chosen: &Upstream,
+    ) -> Option<Departure> {
+        let data_centre = &self.replicas[chosen].entry.data_centre;
+        if *data_centre == self.data_centre {
+            return None;
+        }
+        let service_mean = self.services.get(criteria.service)?.mean_duration;
+        let has_capacity_at_home = |upstream: &&Upstream| {
+            let replica = &self.replicas[*upstream];
+            replica.entry.data_centre == self.data_centre
+                && replica.has_capacity(now, criteria, service_mean, &self.settings)
+        };
+        let reason = match () {
+            () if plan.is_home_absent => Reason::Absent,
+            () if plan.is_retry => Reason::Retry,
+            () if plan.target() == Some(data_centre) => Reason::Share,
+            () if !compared.iter().any(has_capacity_at_home) => Reason::Full,
+            () => Reason::Lower,
+        };
+        Some(Departure { data_centre: data_centre.clone(), reason })
+    }
+
     /// The favourites of a large service, or none if the service is small. Upstreams in this node's
     /// data centre come first. The draw depends only on the upstream's id and the node's seed, so a
     /// change of the members replaces as few favourites as possible.
@@ -216,7 +276,13 @@
         drawn.clone()
     }
 
-    fn add_in_flight(&mut self, now: Millis, upstream: Upstream, class: Class) -> Pick {
+    fn add_in_flight(
+        &mut self,
+        now: Millis,
+        upstream: Upstream,
+        class: Class,
+        departure: Option<Departure>,
+    ) -> Pick {
         let load = self.replicas[&upstream].load().total();
         let Entry { address, version, started, .. } = self.replicas[&upstream].entry.clone();
         if let Some(replica) = self.replicas.get_mut(&upstream) {
@@ -230,7 +296,7 @@
         self.limits.record_send(now, process);
         let own_load = self.replicas[&upstream].own_load;
         self.update_own_load(&upstream, own_load);
-        Pick { upstream, address, version, started, class, load, chosen_at: now }
+        Pick { upstream, address, version, started, class, load, chosen_at: now, departure }
     }
 }
 
--- a/serving/src/balance/mod.rs
+++ b/serving/src/balance/mod.rs
@@ -4,6 +4,7 @@
 mod choice;
 pub mod limit;
 mod load;
+pub mod locality;
 pub mod pace;
 mod replica;
 mod request;
--- a/serving/src/balance/replica.rs
+++ b/serving/src/balance/replica.rs
@@ -35,6 +35,10 @@
 pub(super) struct MeanDuration(Option<f64>);
 
 impl MeanDuration {
+    pub(super) fn ms(self) -> Option<f64> {
+        self.0
+    }
+
     pub(super) fn observe(&mut self, ms: f64) {
         let mean = self.0.unwrap_or(ms);
         self.0 = Some(mean + DURATION_WEIGHT * (ms - mean));
--- a/serving/src/balance/request.rs
+++ b/serving/src/balance/request.rs
@@ -7,6 +7,8 @@
     time::Millis,
 };
 
+use super::locality::Departure;
+
 /// Scheduling class of a request: online requests have a waiting caller, batch requests don't.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Class {
@@ -51,6 +53,8 @@
     pub load: u32,
     /// Time of the choice.
     pub chosen_at: Millis,
+    /// Where the request has gone if it has left this node's data centre, and why.
+    pub departure: Option<Departure>,
 }
 
 /// Reason why no upstream was chosen.
--- a/serving/src/balance/settings.rs
+++ b/serving/src/balance/settings.rs
@@ -7,9 +7,14 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct Settings {
-    /// Penalty on upstreams in another data centre, in requests in flight: one of them is chosen
-    /// only if its load is lower by more than this.
+    /// Penalty on upstreams in another data centre, in requests in flight, while the delay to them
+    /// is unknown or this data centre is short of slots: one of them is chosen only if its load is
+    /// lower by more than this.
     pub data_centre_bias: f64,
+    /// Milliseconds of waiting that a request accepts rather than send its bytes between data
+    /// centres. From 40 on, a request also stays as long as there is a free slot in its own one; at 0
+    /// bytes are free.
+    pub data_centre_byte_cost_ms: f64,
     /// Penalty on upstreams outside this node's favourites, in requests in flight. For a large
     /// service each node favours a small subset of upstreams, so that it reuses its connections.
     pub favour_bias: f64,
@@ -51,6 +56,7 @@
     fn default() -> Settings {
         Settings {
             data_centre_bias: 2.0,
+            data_centre_byte_cost_ms: 20.0,
             favour_bias: 1.0,
             queue_per_upstream: 12,
             queue_unknown: 2,
--- a/serving/src/balance/state.rs
+++ b/serving/src/balance/state.rs
@@ -20,9 +20,10 @@
     Settings,
     limit::{self, Limits, Rate},
     load::{Digest, Load, Loads, Stated},
+    locality::{self, Sites},
     pace::{self, Origin},
     replica::{MeanDuration, Replica},
-    request::{Class, Outcome, Pick},
+    request::{Class, Criteria, Outcome, Pick},
 };
 
 /// Maximum random addition to the delay after which a caller may retry that was refused because of
@@ -68,6 +69,7 @@
     sum_interval_ms: f64,
     /// Kept when an entry disappears, because it may come back while the process still runs.
     pub(super) limits: Limits,
+    pub(super) locality: locality::State,
     /// Earliest time at which a load update can expire.
     next_expiry: Millis,
 }
@@ -96,6 +98,7 @@
 impl State {
     pub fn new(settings: Settings, data_centre: DataCentre, seed: u64) -> State {
         State {
+            locality: locality::State::new(&settings, data_centre.clone(), seed),
             settings,
             data_centre,
             rng: SmallRng::seed_from_u64(seed),
@@ -164,6 +167,7 @@
         members.favourites = None;
         if members.upstreams.is_empty() {
             self.services.remove(&replica.entry.service);
+            self.locality.retain(|service| self.services.contains_key(service));
         }
     }
 
@@ -411,6 +415,62 @@
         (sum, slots)
     }
 
+    /// Upstreams of `service` that are neither draining nor ejected, by data centre.
+    fn sites(&self, now: Millis, service: &Service) -> Sites {
+        let mut sites = Sites::new();
+        let Some(members) = self.services.get(service) else { return sites };
+        for replica in members.upstreams.iter().map(|upstream| &self.replicas[upstream]) {
+            let entry = &replica.entry;
+            if entry.draining || replica.is_leaving || replica.is_ejected(now, &self.settings) {
+                continue;
+            }
+            let site = match sites.get_mut(&entry.data_centre) {
+                Some(site) => site,
+                None => sites.entry(entry.data_centre.clone()).or_default(),
+            };
+            site.upstreams += 1;
+            site.load = site.load + replica.load();
+            site.slots = site.slots.saturating_add(entry.slots);
+            site.run_ms = members.mean_duration.ms();
+        }
+        sites
+    }
+
+    /// The penalties on data centres for one request.
+    pub(super) fn plan(&mut self, now: Millis, criteria: Criteria<'_>) -> locality::Plan {
+        let service = criteria.service;
+        if self.locality.needs_refresh(now, service) {
+            let is_reported = self.fleet_loads.is_some() || !self.peer_loads.is_empty();
+            let sites = is_reported.then(|| self.sites(now, service));
+            self.locality.refresh(now, service, sites.as_ref());
+        }
+        let is_at_home = |upstream: &Upstream| {
+            let replica = self.replicas.get(upstream);
+            replica.is_some_and(|replica| replica.entry.data_centre == self.data_centre)
+        };
+        let is_retry = criteria.excluded.iter().any(is_at_home);
+        self.locality.plan(service, criteria.class, is_retry)
+    }
+
+    /// Records the time that it took to set up a connection to `upstream`.
+    pub fn record_setup(&mut self, upstream: &Upstream, ms: f64) {
+        if let Some(replica) = self.replicas.get(upstream) {
+            self.locality.record_setup(&replica.entry.data_centre, ms);
+        }
+    }
+
+    /// Records the time from sending a request to `upstream` to the head of the response.
+    pub fn record_answer(&mut self, upstream: &Upstream, ms: f64) {
+        if let Some(replica) = self.replicas.get(upstream) {
+            self.locality.record_answer(&replica.entry.data_centre, ms);
+        }
+    }
+
+    /// Services that have started or stopped to send requests out since the last call.
+    pub fn take_locality_changes(&mut self) -> Vec<locality::Change> {
+        self.locality.take_changes()
+    }
+
     /// Batch requests of this node to pause, by upstream. Where the load exceeds the slots, each
     /// node pauses a share of the excess in proportion to its batch requests, because nodes that
     /// act on the same load updates would otherwise all pause theirs.
--- a/serving/src/forward/server.rs
+++ b/serving/src/forward/server.rs
@@ -211,5 +211,6 @@
         class: Class::Online,
         load: 0,
         chosen_at: Millis(0),
+        departure: None,
     })
 }
