feat(exchange): count what leaves the data centre, and measure the delay

Operators could not see how many requests and bytes went to other data centres, or why. The pool now times the set-up of connections, and the first answers bound the delay above; both go to balance. departures and departure_bytes count sends and bytes of bodies by data centre, class and reason, and a log line says when a service starts and stops to send a share out. Bytes of answers that come through another node aren't counted.

--- a/serving/src/exchange/changes.rs
+++ b/serving/src/exchange/changes.rs
@@ -1,6 +1,11 @@
-//! Log lines for changes of what the node believes of parts of prompts and of rate limits.
+//! Log lines for changes of what the node believes of parts of prompts and of rate limits, and of
+//! where it sends requests.
 
-use crate::{balance::limit, id::Process, parts};
+use crate::{
+    balance::{limit, locality},
+    id::Process,
+    parts,
+};
 
 /// Logs each block and its end, and the changes of the evidence on one line.
 pub(super) fn log_parts(changes: &[parts::Change]) {
@@ -38,3 +43,17 @@
         }
     }
 }
+
+/// Logs the services that start or stop to send requests to other data centres.
+pub(super) fn log_locality(changes: &[locality::Change]) {
+    for change in changes {
+        match change {
+            locality::Change::Started { service, fill, share } => {
+                log::info!(service = service.0.as_str(), fill = fill, share = share; "sends a share of the requests to other data centres");
+            }
+            locality::Change::Stopped { service, fill, lasted } => {
+                log::info!(service = service.0.as_str(), fill = fill, ms = lasted.0; "sends no share of the requests to other data centres any more");
+            }
+        }
+    }
+}
--- a/serving/src/exchange/task.rs
+++ b/serving/src/exchange/task.rs
@@ -3,9 +3,11 @@
 use std::{
     collections::BTreeSet,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Instant,
 };
 
 use bytes::Bytes;
+use prometheus_client::metrics::counter::Counter;
 
 use crate::{
     access::{Denial, Guard, KeyDigest, Member},
@@ -14,7 +16,7 @@
     fleet::{self, Software},
     forward::{self, Forwarders},
     id::{Incarnation, Process, Service, Version, Vm, Workspace},
-    metrics::Metrics,
+    metrics::{DepartureLabels, Metrics},
     origins::Origins,
     parts::{self, Prompt},
     quarantine::{Fingerprint, Quarantine, Status},
@@ -164,12 +166,14 @@
         }
         let criteria = Criteria { service, class, excluded, version, objective };
         let known_crashes = self.parts().revision();
-        let (pick, expected_ms) = {
+        let (choice, expected_ms, locality_changes) = {
             let mut balance = self.balance();
-            let pick = balance.choose(now, criteria)?;
-            let expected_ms = balance.expected_ms(&pick);
-            (pick, expected_ms)
+            let choice = balance.choose(now, criteria);
+            let expected_ms = choice.as_ref().ok().and_then(|pick| balance.expected_ms(pick));
+            (choice, expected_ms, balance.take_locality_changes())
         };
+        changes::log_locality(&locality_changes);
+        let pick = choice?;
         let context = Arc::clone(self);
         Ok(Permit { context, pick, outcome: Outcome::Neutral, known_crashes, expected_ms })
     }
@@ -202,6 +206,7 @@
                 }
             }
         };
+        let bytes_counter = self.count_departure(pick, request);
         let is_up = self.uplink().health() == Health::Up;
         if !is_up && self.forwarders.count(self.clock.now()) > 0 {
             let forwarded =
@@ -213,14 +218,43 @@
             }
         }
         let codec = self.codec.as_ref();
-        let sending = self.pool.send(codec, request, options, pick.address, is_retryable, &on_head);
-        let result = sending.await;
+        let started = Instant::now();
+        let on_own_head = |head: &upstream::Head| {
+            if head.belongs_to(request) {
+                let ms = started.elapsed().as_secs_f64() * 1_000.0;
+                self.balance().record_answer(&pick.upstream, ms);
+            }
+            on_head(head);
+        };
+        let sending =
+            self.pool.send(codec, request, options, pick.address, is_retryable, &on_own_head);
+        let mut result = sending.await;
+        if let Ok(answer) = &mut result {
+            if let Some(setup) = answer.setup {
+                self.balance().record_setup(&pick.upstream, setup.as_secs_f64() * 1_000.0);
+            }
+            answer.body.counter = bytes_counter;
+        }
         if result.as_ref().is_err_and(|failure| failure.kind == FailureKind::Connect) {
             uplink::check_path(self, pick, Sign::ConnectFailed);
         }
         result
     }
 
+    /// Counts a send to another data centre. Returns the counter of its bytes.
+    fn count_departure(&self, pick: &Pick, request: &Request) -> Option<Counter> {
+        let departure = pick.departure.as_ref()?;
+        let labels = DepartureLabels {
+            data_centre: departure.data_centre.0.clone(),
+            class: pick.class.to_string(),
+            reason: departure.reason.name(),
+        };
+        self.metrics.departures.get_or_create(&labels).inc();
+        let bytes = self.metrics.departure_bytes.get_or_create(&labels).clone();
+        bytes.inc_by(request.body.len() as u64);
+        Some(bytes)
+    }
+
     /// Counts a request that this node has `sent` through another one or has `taken` from it.
     pub(crate) fn count_forwarded(&self, direction: &str, outcome: &str) {
         self.metrics.count(&self.metrics.forwarded, direction, outcome);
--- a/serving/src/metrics.rs
+++ b/serving/src/metrics.rs
@@ -34,6 +34,14 @@
     pub route: String,
 }
 
+/// Labels of requests that have left the node's data centre.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub struct DepartureLabels {
+    pub data_centre: String,
+    pub class: String,
+    pub reason: &'static str,
+}
+
 /// The metrics of one process.
 pub struct Metrics {
     registry: Registry,
@@ -75,6 +83,11 @@
     pub time_ratio: Histogram,
     /// Requests from callers that have not ended.
     pub in_flight: Gauge,
+    /// Sends to other data centres by data centre and reason.
+    pub departures: Family<DepartureLabels, Counter>,
+    /// Bytes of bodies that sends to other data centres carried in both directions, by data centre
+    /// and reason.
+    pub departure_bytes: Family<DepartureLabels, Counter>,
 }
 
 impl Default for Metrics {
@@ -161,6 +174,18 @@
         );
         let in_flight = Gauge::default();
         registry.register("in_flight", "Requests in flight", in_flight.clone());
+        let departures = Family::default();
+        registry.register(
+            "departures",
+            "Sends to upstreams in other data centres",
+            departures.clone(),
+        );
+        let departure_bytes = Family::default();
+        registry.register(
+            "departure_bytes",
+            "Bytes of bodies to and from upstreams in other data centres",
+            departure_bytes.clone(),
+        );
         Metrics {
             registry,
             requests,
@@ -181,6 +206,8 @@
             stated_pace,
             time_ratio,
             in_flight,
+            departures,
+            departure_bytes,
         }
     }
 }
--- a/serving/src/upstream/call.rs
+++ b/serving/src/upstream/call.rs
@@ -6,6 +6,7 @@
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as _, Incoming};
+use prometheus_client::metrics::counter::Counter;
 use tokio::{sync::OwnedSemaphorePermit, time::Instant};
 
 use super::{
@@ -128,6 +129,8 @@
     pub parts: http::response::Parts,
     pub head: Head,
     pub body: Body,
+    /// Time that it took to establish the connection; `None` if it has carried a request before.
+    pub setup: Option<Duration>,
 }
 
 /// The body of a response. Dropping it before its end closes the connection, which cancels the
@@ -144,6 +147,8 @@
     /// upstream crashes.
     pub(crate) is_unframed: bool,
     deadline: Option<Instant>,
+    /// Counts the bytes of the body.
+    pub(crate) counter: Option<Counter>,
 }
 
 impl Pool {
@@ -183,6 +188,7 @@
             result => result?,
         };
         connection.meter.reset();
+        let setup = (!connection.is_reused).then_some(connection.setup);
         let (parts, incoming) = response.into_parts();
         if parts.status.is_informational() {
             return Err(Failure::broken("the upstream switched protocols"));
@@ -208,6 +214,7 @@
             closes_connection: head.closes_connection,
             is_unframed: is_unframed(&parts),
             deadline,
+            counter: None,
         };
         if head.not_run {
             // Reading the whole body returns the connection to the pool, so that an overloaded
@@ -218,7 +225,7 @@
         if parts.status.is_success() && !head.is_authentic {
             return Err(Failure::broken("the answer isn't sealed"));
         }
-        Ok(Answer { parts, head, body })
+        Ok(Answer { parts, head, body, setup })
     }
 }
 
@@ -238,6 +245,9 @@
                         if let Some(connection) = &self.connection {
                             connection.meter.reset();
                         }
+                        if let Some(counter) = &self.counter {
+                            counter.inc_by(data.len() as u64);
+                        }
                         return Ok(Some(data));
                     }
                     // Trailers are not passed on to callers.
--- a/serving/src/upstream/pool.rs
+++ b/serving/src/upstream/pool.rs
@@ -63,6 +63,8 @@
     pub(super) sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     pub(super) meter: Arc<Meter>,
+    /// Time that it took to establish the connection.
+    pub(super) setup: Duration,
     /// Whether the connection has carried a request before.
     pub(super) is_reused: bool,
 }
@@ -174,11 +176,13 @@
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<Connection, String> {
+        let started = Instant::now();
         let connecting = tokio::time::timeout(self.connect_timeout(), TcpStream::connect(address));
         let stream = connecting
             .await
             .map_err(|_| "connecting timed out".to_string())?
             .map_err(|error| format!("connecting failed: {error}"))?;
+        let setup = started.elapsed();
         stream.set_nodelay(true).map_err(|error| format!("setting TCP_NODELAY failed: {error}"))?;
         let meter = Arc::new(Meter::default());
         let stream = MeteredStream { stream, meter: Arc::clone(&meter) };
@@ -189,7 +193,7 @@
             .map_err(|error| format!("the connection failed: {error}"))?;
         // An error of the connection is reported to the request in flight on it.
         let task = tokio::spawn(async move { drop(connection.await) }).abort_handle();
-        Ok(Connection { sender, task, meter, is_reused: false })
+        Ok(Connection { sender, task, meter, setup, is_reused: false })
     }
 
     fn connect_timeout(&self) -> Duration {
