feat(standins): emulate measured delays and count events between data centres

The emulator compared policies by worth only. It now tells nodes the set-up time of connections (measures_delays) and counts the events of requests and items from other data centres, which stand for bytes.

--- a/standins/src/bin/emulate.rs
+++ b/standins/src/bin/emulate.rs
@@ -41,9 +41,9 @@
         return Ok(());
     }
     println!(
-        "| scenario | schedule | worth | online in time, late, refused | batch in time, late | pauses an item | messages a node and s | first event p50, p99 ms | busiest over mean | connections, pairs a day |"
+        "| scenario | schedule | worth | online in time, late, refused | batch in time, late | pauses an item | messages a node and s | first event p50, p99 ms | busiest over mean | connections, pairs a day | online and batch events from elsewhere |"
     );
-    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     if options.uneven {
         for collect_ms in [50, 200, 300] {
             let name = format!("uneven, collectors every {collect_ms} ms");
@@ -80,7 +80,7 @@
     let share = |part: u32, count: u32| f64::from(part) / f64::from(count.max(1));
     let seconds = (scenario.length_ms + scenario.tail_ms) as f64 / 1_000.0;
     println!(
-        "| {name} | {schedule} | {:.3} | {:.3} {:.3} {:.3} | {:.3} {:.3} | {:.2} | {:.0} | {} {} | {:.2} | {} {} |",
+        "| {name} | {schedule} | {:.3} | {:.3} {:.3} {:.3} | {:.3} {:.3} | {:.2} | {:.0} | {} {} | {:.2} | {} {} | {:.3} {:.3} |",
         tally.worth(),
         share(online.in_time, online.count),
         share(online.late + online.lost_packet, online.count),
@@ -94,5 +94,7 @@
         tally.busiest_over_mean(),
         tally.connections / seeds,
         tally.pairs / seeds,
+        tally.online_events.remote_share(),
+        tally.batch_events.remote_share(),
     );
 }
--- a/standins/src/emulator/fleet.rs
+++ b/standins/src/emulator/fleet.rs
@@ -5,7 +5,7 @@
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use serving::{
     balance::{
-        self, Class, Criteria, Loads, Outcome,
+        self, Class, Criteria, Loads, Outcome, Pick,
         pace::{self, Origin},
     },
     batch::{
@@ -24,6 +24,7 @@
     arrivals::{Day, Request},
     engine::{self, Engine, Run, Work},
     owner::Owner,
+    tally::Traffic,
 };
 
 /// How long a node takes to see that an engine has died under a request.
@@ -187,6 +188,11 @@
             Event::Done(work) => match work {
                 Work::Online(index) => {
                     self.calls[index].done = true;
+                    let events = u64::from(self.day.requests[index].events);
+                    let pick = self.calls[index].pick.clone();
+                    if let Some((node, pick)) = pick {
+                        self.measure(node, &pick, events);
+                    }
                     self.end_call(now, index, Outcome::Succeeded);
                 }
                 Work::Item(owner, item) => {
@@ -299,6 +305,20 @@
         self.nodes[node].balance.record_stated(Millis(now), pick, stated);
     }
 
+    /// Counts the events that a node got from an engine, and tells the node the set-up time of the
+    /// connection.
+    fn measure(&mut self, node: usize, pick: &Pick, events: u64) {
+        let link = self.link(node, self.index[&pick.upstream]);
+        let remote = if link > 0 { events } else { 0 };
+        match pick.class {
+            Class::Online => self.tally.online_events += Traffic { all: events, remote },
+            Class::Batch => self.tally.batch_events += Traffic { all: events, remote },
+        }
+        if self.scenario.measures_delays {
+            self.nodes[node].balance.record_setup(&pick.upstream, 1.0 + 2.0 * link as f64);
+        }
+    }
+
     fn item_ran(&mut self, now: u64, work: Work, events: u32, outcome: Outcome) {
         let Work::Item(owner, item) = work else { return };
         let owner = &mut self.owners[owner];
@@ -306,6 +326,7 @@
             let node = owner.node;
             self.disconnect(now, node, self.index[&pick.upstream], outcome);
             self.nodes[node].balance.finish(Millis(now), &pick, outcome);
+            self.measure(node, &pick, u64::from(events));
         }
     }
 
--- a/standins/src/emulator/mod.rs
+++ b/standins/src/emulator/mod.rs
@@ -20,7 +20,7 @@
 mod tally;
 
 pub use scenario::{Batch, Engine, News, Noise, Online, Outage, Replica, Scenario, Shape};
-pub use tally::{Account, Tally};
+pub use tally::{Account, Tally, Traffic};
 
 /// Plays one day with the decisions of the nodes.
 pub fn play(scenario: &Scenario, seed: u64) -> Tally {
--- a/standins/src/emulator/scenario.rs
+++ b/standins/src/emulator/scenario.rs
@@ -17,6 +17,8 @@
     pub data_centres: usize,
     /// One way between data centres.
     pub link_ms: u64,
+    /// Whether nodes measure the delay to engines. Otherwise it is unknown to them.
+    pub measures_delays: bool,
     /// Share of the packets that are lost; an event whose packet is lost is late.
     pub loss: f64,
     pub news: News,
@@ -44,6 +46,7 @@
             nodes: 12,
             data_centres: 4,
             link_ms: 4,
+            measures_delays: true,
             loss: 0.0,
             news: News::default(),
             engine: Engine::default(),
--- a/standins/src/emulator/tally.rs
+++ b/standins/src/emulator/tally.rs
@@ -33,6 +33,27 @@
     }
 }
 
+/// Events that nodes got from engines.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Traffic {
+    pub all: u64,
+    /// Those from another data centre.
+    pub remote: u64,
+}
+
+impl Traffic {
+    pub fn remote_share(self) -> f64 {
+        self.remote as f64 / self.all.max(1) as f64
+    }
+}
+
+impl AddAssign for Traffic {
+    fn add_assign(&mut self, other: Traffic) {
+        self.all += other.all;
+        self.remote += other.remote;
+    }
+}
+
 /// One day, or the sum of several.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Tally {
@@ -50,6 +71,10 @@
     pub connections: u64,
     /// Pairs of node and engine between which a connection was opened.
     pub pairs: u64,
+    /// Events of requests, which stand for their bytes.
+    pub online_events: Traffic,
+    /// Events of batch items.
+    pub batch_events: Traffic,
 }
 
 impl Tally {
@@ -89,5 +114,7 @@
         }
         self.connections += other.connections;
         self.pairs += other.pairs;
+        self.online_events += other.online_events;
+        self.batch_events += other.batch_events;
     }
 }
