feat(bulrushctl): check a configuration of the platform before it is sent

Operators learned only from nodes that a configuration was malformed, and not at all that a route was hidden by another, that a key was held by two workspaces and so valid for neither, or that limits contradicted each other.

`bulrushctl config check FILE [--against VERSION_FILE] [--strict]` decodes the file with the types that nodes use and reports errors with the path of the field, entries without effect, and differences from the version in force, as text or JSON. Exit codes are 0, 1 and 2. Messages of the decoder quote values; outside routes and limits they are replaced, so that no key is printed.

--- a/bulrushctl/src/arguments.rs
+++ b/bulrushctl/src/arguments.rs
@@ -99,6 +99,19 @@
         #[bpaf(positional("FILE"))]
         file: PathBuf,
     },
+    /// Checks a configuration of the platform without a node.
+    ///
+    /// Exit codes: 0 clean, 1 errors or, with --strict, warnings, 2 a file can't be read.
+    #[bpaf(command)]
+    Check {
+        /// The version in force, to show what differs from it.
+        #[bpaf(long, argument("VERSION_FILE"), optional)]
+        against: Option<PathBuf>,
+        /// Warnings count as errors.
+        strict: bool,
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
     /// Shows how the piece in FILE differs from the one in force.
     #[bpaf(command)]
     Diff {
--- a/bulrushctl/src/config.rs
+++ b/bulrushctl/src/config.rs
@@ -7,6 +7,7 @@
     id::{Environment, Offset, Team},
     operator::view::{EnvironmentView, History, InForce, Promote, Publish, Published},
 };
+use platform::operator::check::{self as platform_check, Severity};
 use serde_json::Value;
 
 use crate::{
@@ -42,6 +43,9 @@
             }
             output.print(&published, |it| done(dry_run, wait, it))
         }
+        Config::Check { against, strict, file } => {
+            check_platform(output, &file, against.as_deref(), strict)
+        }
         Config::Diff { place, file } => diff(client, output, &place, &file).await,
         Config::Promote { from, to, version, base, author, wait } => {
             let version = match version {
@@ -92,6 +96,27 @@
     }
 }
 
+/// Checks a configuration in the platform's format.
+fn check_platform(
+    output: Output,
+    file: &Path,
+    against: Option<&Path>,
+    is_strict: bool,
+) -> Result<()> {
+    let read = |file: &Path| {
+        fs::read(file).map_err(|error| Failure::Usage(format!("{}: {error}", file.display())))
+    };
+    let (bytes, in_force) = (read(file)?, against.map(read).transpose()?);
+    let report = platform_check::check(&bytes, in_force.as_deref())
+        .map_err(|error| Failure::Usage(error.to_string()))?;
+    let (errors, warnings) = (report.count(Severity::Error), report.count(Severity::Warning));
+    output.print(&report, ToString::to_string)?;
+    match errors > 0 || (is_strict && warnings > 0) {
+        true => Err(Failure::Local("the configuration should not be sent as it is".to_string())),
+        false => Ok(()),
+    }
+}
+
 async fn diff(client: &Client, output: Output, place: &Place, file: &Path) -> Result<()> {
     let piece = read_piece(file)?;
     let view = get(client, &place.environment).await?;
--- a/bulrushctl/tests/command_line.rs
+++ b/bulrushctl/tests/command_line.rs
@@ -34,6 +34,7 @@
         "config",
         "config get",
         "config apply",
+        "config check",
         "config diff",
         "config promote",
         "config history",
@@ -111,3 +112,30 @@
     });
     insta::assert_snapshot!(lines.join("\n"));
 }
+
+/// The exit codes of the check, on which deployments decide whether to send the file.
+#[test]
+fn check_of_a_configuration_tells_clean_faulty_and_unreadable_files_apart() {
+    let directory = tempfile::tempdir().expect("a directory");
+    let file = |name: &str, text: &str| {
+        let path = directory.path().join(name);
+        fs::write(&path, text).expect("the file is written");
+        path.display().to_string()
+    };
+    let clean = file("clean.json", r#"{"version": 1}"#);
+    let next = file("next.json", r#"{"version": 2}"#);
+    let doubtful = file("doubtful.json", r#"{"version": 2, "tenants": [{"name": "green"}]}"#);
+    let faulty = file("faulty.json", r#"{"version": "one"}"#);
+    let broken = file("broken.json", "{");
+    let code = |arguments: &[&str]| run(&[&["config", "check"], arguments].concat()).code;
+    assert_eq!(code(&[&clean]), Some(0));
+    assert_eq!(code(&["--against", &clean, &next]), Some(0));
+    assert_eq!(code(&["--against", &next, &clean]), Some(1), "nodes ignore a lower version");
+    assert_eq!(code(&[&doubtful]), Some(0));
+    assert_eq!(code(&["--strict", &doubtful]), Some(1));
+    assert_eq!(code(&[&faulty]), Some(1));
+    assert_eq!(code(&[&broken]), Some(2));
+    assert_eq!(code(&["missing.json"]), Some(2));
+    let json = run(&["--json", "config", "check", &doubtful]).stdout;
+    assert!(json.starts_with(r#"{"findings":[{"severity":"warning""#), "{json}");
+}
