fix(exchange): let a resumed run go on without a report if the registry still names its process

The report of an upstream needs a connection of its own, which a faulty link may refuse although the response arrives; the run was ended then. Without a report, a read of the registry that is sent after the response began must now name the same start.

The 34 tests of platform/tests/versions.rs pass.

--- a/serving/src/exchange/process.rs
+++ b/serving/src/exchange/process.rs
@@ -24,7 +24,8 @@
 ///
 /// # Errors
 ///
-/// Fails if the process started at another time than the one in the registry, or doesn't report.
+/// Fails if the process started at another time than the one in the registry. Fails as well if it
+/// doesn't report and the registry can't be read, or no longer names that time.
 pub(crate) async fn check(
     context: &Context,
     pick: &Pick,
@@ -50,7 +51,14 @@
         Ok((answer.parts.status, answer.body.collect().await?))
     };
     let report = tokio::time::timeout(REPORT_TIMEOUT, report).await;
-    let (status, body) = report.map_err(|_| Failure::timed_out())??;
+    let report = report.unwrap_or_else(|_| Err(Failure::timed_out()));
+    let (status, body) = match report {
+        Ok(report) => report,
+        // The report needs a connection of its own, which a faulty link may refuse although the
+        // response arrives.
+        Err(_) if is_registered(context, pick).await => return Ok(()),
+        Err(failure) => return Err(failure),
+    };
     let started = match status {
         StatusCode::OK => context.codec.read_started(&body),
         _ => None,
@@ -60,3 +68,13 @@
         None => Ok(()),
     }
 }
+
+/// Whether the registry, read after the response began, still names the process of `pick`.
+async fn is_registered(context: &Context, pick: &Pick) -> bool {
+    let read = context.origins.reads.wait(context.clock.boot_time());
+    if tokio::time::timeout(REPORT_TIMEOUT, read).await.is_err() {
+        return false;
+    }
+    let fleet = context.fleet();
+    fleet.entries().get(&pick.upstream).is_some_and(|entry| entry.started == pick.started)
+}
