feat(batch): log who begins a run of an item, for which epoch, and how old its ownership is

Cause: the line at the end of a run didn't name the partition, the epoch or the time since the log last confirmed the ownership, nor the node through which the item went. So it couldn't be told whether late runs of review/1 come from the owner that lost its partition, from the next owner or from a forwarder that sends again.

Hypotheses for review/1: the cut owner starts items after its lease (1), a forwarder sends an item a second time (2), the next owner runs items of jobs that it has cancelled (3).

One line for each run of an item, as at its end.

--- a/serving/src/batch/owner/items.rs
+++ b/serving/src/batch/owner/items.rs
@@ -164,6 +164,13 @@
         }
         let (pause, paused) = oneshot::channel();
         let upstream = permit.pick.upstream.clone();
+        let confirmed = self.dependencies.context.clock.now() - self.verification.get();
+        log::info!(
+            job = item.job.0.as_str(), item = request.id.as_str(), upstream = upstream.0.as_str(),
+            partition = self.partition.number, epoch = self.producer.epoch,
+            confirmed_ms = confirmed.0, resume_after:? = progress.last_event;
+            "run of an item begins"
+        );
         let run = Run {
             context: Arc::clone(&self.dependencies.context),
             progress,
--- a/serving/src/batch/run.rs
+++ b/serving/src/batch/run.rs
@@ -13,7 +13,7 @@
     exchange::{Context, Permit, events::Splitter, process, state::health_outcome},
     time::Millis,
     uplink::{Sign, check_path},
-    upstream::{Failure, FailureKind, Options, Request},
+    upstream::{self, Failure, FailureKind, Options, Request},
 };
 
 use super::{
@@ -139,6 +139,9 @@
         let response = tokio::time::timeout(max_silence, sending)
             .await
             .map_err(|_| Failure::timed_out())??;
+        if let Some(forwarder) = upstream::forwarder(&response.parts) {
+            log::info!(item = self.request.id.as_str(), forwarder:% = forwarder; "item answered through another node");
+        }
         match response.parts.status {
             StatusCode::OK => {}
             StatusCode::INTERNAL_SERVER_ERROR => return Ok(RunEnd::Failed),
