fix(batch): start items only while no other node can have held the partition for long

Cause: only an answer of the log stopped an owner. One that was cut off from the log started and resumed items as long as it lived, and nodes that forwarded them looked at the upstream alone.

It is checked before items are started and again before each write of a request, on the own path, through forwarders and on retries. Forwarded items bear a claim (partition, epoch, time left), and a node refuses those of an owner that it knows to be replaced. Connections to forwarders are reset when they are given up, so that the system delivers nothing that still waits for a cut link. Verification of ownership is part of the tenure.

Older nodes pass the header on to the upstream, which ignores it.

--- a/serving/src/batch/coordinator.rs
+++ b/serving/src/batch/coordinator.rs
@@ -80,7 +80,7 @@
             workspace: None,
         };
         let peer = Upstream(address.to_string());
-        let options = Options { upstream: &peer, deadline: None, resume_after: None };
+        let options = Options { upstream: &peer, deadline: None, resume_after: None, tenure: None };
         let answer = self.peers.send(&Passthrough, &request, options, address, true, &|_| ()).await;
         let answer = answer.map_err(|error| fail(error.to_string()))?;
         if answer.parts.status != StatusCode::OK {
--- a/serving/src/batch/directory.rs
+++ b/serving/src/batch/directory.rs
@@ -12,11 +12,12 @@
 use crate::{
     allowance::{Lease, Lender},
     id::{Job, Workspace},
+    tenure::Tenure,
     time::Millis,
 };
 
 use super::{
-    owner::{Handle, Verification},
+    owner::Handle,
     quota::{self, Report},
 };
 
@@ -34,9 +35,8 @@
 /// The owner of a partition at this node.
 pub(super) struct LocalOwner {
     pub(super) handle: Handle,
-    pub(super) epoch: u64,
     pub(super) task: AbortHandle,
-    pub(super) verification: Verification,
+    pub(super) tenure: Tenure,
     pub(super) lease: Lease,
 }
 
@@ -102,8 +102,9 @@
 
     /// Returns the partitions that this node owns, each with its report.
     pub(super) fn reports(&self) -> Vec<(u16, Report)> {
+        let epoch = |owned: &LocalOwner| owned.tenure.ownership.epoch;
         let owned: Vec<(u16, u64)> =
-            self.lock().owned.iter().map(|(number, owned)| (*number, owned.epoch)).collect();
+            self.lock().owned.iter().map(|(number, owned)| (*number, epoch(owned))).collect();
         let quota = self.quota();
         // The report of an earlier epoch is left out: the current owner hasn't restored its
         // partition yet.
@@ -115,7 +116,8 @@
     }
 
     /// Applies the reports of the partitions that the node at `address` owns. Partitions that it
-    /// no longer reports lose that owner; a report from an earlier epoch is ignored.
+    /// no longer reports lose that owner; a report from an earlier epoch is ignored. One from a later
+    /// epoch than that of this node's own owner ends the tenure of that owner.
     pub(super) fn apply_peer_reports(&self, address: SocketAddr, reports: Vec<(u16, Report)>) {
         let mut table = self.lock();
         let is_reported = |number: &u16| reports.iter().any(|(reported, _)| reported == number);
@@ -125,6 +127,11 @@
             if report.epoch >= stored {
                 table.remote_owners.insert(*number, (report.epoch, address));
             }
+            let replaced =
+                table.owned.get(number).filter(|owned| owned.tenure.ownership.epoch < report.epoch);
+            if replaced.is_some_and(|owned| owned.tenure.end()) {
+                log::warn!(partition = number, epoch = report.epoch, owner:% = address; "another node reports to own a partition of this node by now");
+            }
         }
         drop(table);
         let mut quota = self.quota();
--- a/serving/src/batch/group.rs
+++ b/serving/src/batch/group.rs
@@ -14,6 +14,7 @@
     exchange::Context,
     id::{Job, Workspace},
     log_store::{self, Partition},
+    tenure::{Ownership, Tenure},
     time::{Clock, Millis},
     upstream::Pool,
 };
@@ -24,7 +25,7 @@
     coordinator,
     directory::{Directory, LocalOwner, Location, partition_of},
     ledger::Ledger,
-    owner::{self, Dependencies, Page, Unavailable, Verification},
+    owner::{self, Dependencies, Page, Unavailable},
     quota::Report,
 };
 
@@ -126,6 +127,10 @@
 
     /// Applies the reports of the partitions that the node at `address` owns.
     pub fn apply_peer_reports(&self, address: SocketAddr, reports: Vec<(u16, Report)>) {
+        for (partition, report) in &reports {
+            let ownership = Ownership { partition: *partition, epoch: report.epoch };
+            self.dependencies.context.epochs.record(ownership);
+        }
         self.directory.apply_peer_reports(address, reports);
     }
 
@@ -169,8 +174,8 @@
                 continue;
             }
             let ttl = Millis(settings.membership_ms);
-            let requested_at = self.dependencies.context.clock.now();
-            let lease_until = self.dependencies.context.clock.boot_time() + ttl - LEASE_MARGIN;
+            let requested_at = self.dependencies.context.clock.boot_time();
+            let lease_until = requested_at + ttl - LEASE_MARGIN;
             let joined =
                 self.dependencies.store.join(GROUP, &self.member, TOPIC, generation, ttl).await;
             match joined {
@@ -290,15 +295,17 @@
     }
 
     /// Starts owners of the assigned partitions that have none running. The assignment was valid
-    /// at `requested_at`. No other node is assigned these partitions until `lease_until`, a time of
-    /// `CLOCK_BOOTTIME`.
+    /// at `requested_at`. No other node is assigned these partitions until `lease_until`. Both are
+    /// times of `CLOCK_BOOTTIME`.
     fn start_assigned(
         &self,
         assignment: &log_store::Assignment,
         requested_at: Millis,
         lease_until: Millis,
     ) {
-        let boot_time = self.dependencies.context.clock.boot_time();
+        let context = &self.dependencies.context;
+        let boot_time = context.clock.boot_time();
+        let length = Millis(self.dependencies.settings.membership_ms);
         let mut table = self.directory.lock();
         if table.has_left {
             return;
@@ -307,21 +314,22 @@
         for number in &assignment.partitions {
             if let Some(owned) = table.owned.get_mut(number) {
                 owned.lease.renew(boot_time, lease_until);
-                if !owned.task.is_finished() {
-                    owned.verification.set(requested_at);
+                if !owned.task.is_finished() && !owned.tenure.is_replaced() {
+                    owned.tenure.confirm(requested_at);
                     continue;
                 }
+                owned.task.abort();
             }
             let previous = table.owned.get(number).map(|owned| owned.lease);
             let lease = previous.unwrap_or(Lease::new(boot_time, lease_until));
             table.owner_starts = (table.owner_starts + 1) % STARTS_PER_GENERATION;
             let epoch = assignment.generation * STARTS_PER_GENERATION + table.owner_starts;
             let partition = Partition { topic: TOPIC.to_string(), number: *number };
-            let verification = Verification::default();
-            verification.set(requested_at);
-            let (handle, task) =
-                owner::start(self.dependencies.clone(), partition, epoch, verification.clone());
-            table.owned.insert(*number, LocalOwner { handle, epoch, task, verification, lease });
+            let ownership = Ownership { partition: *number, epoch };
+            context.epochs.record(ownership);
+            let tenure = Tenure::new(context.clock.clone(), ownership, length, requested_at);
+            let (handle, task) = owner::start(self.dependencies.clone(), partition, tenure.clone());
+            table.owned.insert(*number, LocalOwner { handle, task, tenure, lease });
         }
     }
 
--- a/serving/src/batch/owner/calls.rs
+++ b/serving/src/batch/owner/calls.rs
@@ -197,8 +197,7 @@
     /// Whether the log confirmed the ownership within the last `proof_ms`: too recently for a
     /// later owner to have jobs or results that callers must find here.
     fn is_ownership_verified(&self) -> bool {
-        let age = self.dependencies.context.clock.now() - self.verification.get();
-        age <= Millis(self.dependencies.settings.proof_ms)
+        self.tenure.age() <= Millis(self.dependencies.settings.proof_ms)
     }
 
     /// Cancels a job, pauses its runs and writes the cancellation.
--- a/serving/src/batch/owner/handle.rs
+++ b/serving/src/batch/owner/handle.rs
@@ -1,10 +1,5 @@
 //! Handle through which other tasks of the process call the owner of a partition.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicU64, Ordering},
-};
-
 use bytes::Bytes;
 use tokio::sync::{mpsc, oneshot};
 
@@ -83,23 +78,6 @@
     },
 }
 
-/// When the log last confirmed that an owner holds its partition, shared between the owner and
-/// the group. A later owner may have claimed the partition since then, and may have jobs and
-/// results that this owner doesn't have.
-#[derive(Clone, Debug, Default)]
-pub(in crate::batch) struct Verification(Arc<AtomicU64>);
-
-impl Verification {
-    /// Stores `at` unless a later time is stored already.
-    pub(in crate::batch) fn set(&self, at: Millis) {
-        self.0.fetch_max(at.0, Ordering::Relaxed);
-    }
-
-    pub(super) fn get(&self) -> Millis {
-        Millis(self.0.load(Ordering::Relaxed))
-    }
-}
-
 /// Calls the owner of a partition at this node.
 #[derive(Clone, Debug)]
 pub struct Handle(pub(super) mpsc::Sender<Command>);
--- a/serving/src/batch/owner/items.rs
+++ b/serving/src/batch/owner/items.rs
@@ -81,7 +81,7 @@
             let service = self.select_service(&entry.item, &route);
             services.entry(service).or_default().push(entry);
         }
-        if self.releasing.is_none() {
+        if self.may_start_items() {
             for (service, waiting) in &mut services {
                 *waiting = self.start_items(service, std::mem::take(waiting));
             }
@@ -89,6 +89,38 @@
         self.report_waiting(&services);
     }
 
+    /// Whether items may start: the owner isn't being released, and no other node can have held the
+    /// partition for long.
+    fn may_start_items(&mut self) -> bool {
+        let is_lapsed = self.tenure.remaining().is_none();
+        if std::mem::replace(&mut self.is_lapsed, is_lapsed) != is_lapsed {
+            let (partition, epoch) = (self.partition.number, self.producer.epoch);
+            let confirmed = self.tenure.age();
+            match is_lapsed {
+                true => {
+                    log::warn!(partition = partition, epoch = epoch, confirmed_ms = confirmed.0, is_replaced = self.tenure.is_replaced(); "no more items start: the partition may have another owner")
+                }
+                false => {
+                    log::info!(partition = partition, epoch = epoch; "items start again: the log has confirmed the ownership")
+                }
+            }
+        }
+        !is_lapsed && self.releasing.is_none()
+    }
+
+    /// Pauses all items once the partition has a later owner, which runs them too.
+    pub(super) fn pause_if_replaced(&mut self) {
+        if !self.tenure.is_replaced() {
+            return;
+        }
+        for running in self.running.values_mut() {
+            if let Some(pause) = running.pause.take() {
+                // Sending fails if the run has just ended.
+                let _ = pause.send(());
+            }
+        }
+    }
+
     /// Starts items of a service. Returns the rest of `waiting`, which is sorted by urgency.
     fn start_items(&mut self, service: &Service, waiting: Vec<WaitingItem>) -> Vec<WaitingItem> {
         let free_slots = self.free_batch_slots(service);
@@ -164,11 +196,10 @@
         }
         let (pause, paused) = oneshot::channel();
         let upstream = permit.pick.upstream.clone();
-        let confirmed = self.dependencies.context.clock.now() - self.verification.get();
         log::info!(
             job = item.job.0.as_str(), item = request.id.as_str(), upstream = upstream.0.as_str(),
             partition = self.partition.number, epoch = self.producer.epoch,
-            confirmed_ms = confirmed.0, resume_after:? = progress.last_event;
+            confirmed_ms = self.tenure.age().0, resume_after:? = progress.last_event;
             "run of an item begins"
         );
         let run = Run {
@@ -177,6 +208,7 @@
             id: item.clone(),
             request,
             permit,
+            tenure: self.tenure.clone(),
             settings: self.dependencies.settings.clone(),
             pause: paused,
             progress_tx: self.progress_tx.clone(),
--- a/serving/src/batch/owner/mod.rs
+++ b/serving/src/batch/owner/mod.rs
@@ -26,6 +26,7 @@
     exchange::Context,
     id::{Job as JobId, Service},
     log_store::{self, Error, Partition, Producer},
+    tenure::Tenure,
     time::Millis,
 };
 
@@ -39,7 +40,6 @@
 };
 
 pub(super) use calls::read_page;
-pub(super) use handle::Verification;
 pub use handle::{Admission, Handle, Page, Unavailable};
 
 use calls::{PendingRead, Submission};
@@ -74,12 +74,11 @@
 pub(super) fn start(
     dependencies: Dependencies,
     partition: Partition,
-    epoch: u64,
-    verification: Verification,
+    tenure: Tenure,
 ) -> (Handle, tokio::task::AbortHandle) {
     let (command_tx, commands) = mpsc::channel(COMMAND_QUEUE);
     let task = tokio::spawn(async move {
-        if let Some(owner) = Owner::claim(dependencies, partition, epoch, verification).await {
+        if let Some(owner) = Owner::claim(dependencies, partition, tenure).await {
             owner.run(commands).await;
         }
     });
@@ -90,7 +89,9 @@
 struct Owner {
     dependencies: Dependencies,
     partition: Partition,
-    verification: Verification,
+    tenure: Tenure,
+    /// Whether the tenure had lapsed when items were last to start.
+    is_lapsed: bool,
     producer: Producer,
     ledger: Ledger,
     /// Writes that wait for an append.
@@ -128,9 +129,9 @@
     async fn claim(
         dependencies: Dependencies,
         partition: Partition,
-        epoch: u64,
-        verification: Verification,
+        tenure: Tenure,
     ) -> Option<Owner> {
+        let epoch = tenure.ownership.epoch;
         let producer = Producer { name: "owner".to_string(), epoch, sequence: 0 };
         let started_at = Instant::now();
         loop {
@@ -172,7 +173,8 @@
         Some(Owner {
             dependencies,
             partition,
-            verification,
+            tenure,
+            is_lapsed: false,
             producer: Producer { sequence: 1, ..producer },
             ledger,
             writes: VecDeque::new(),
@@ -235,6 +237,7 @@
                     self.clean_up(now);
                     if now >= next_schedule {
                         self.pause_excess_items();
+                        self.pause_if_replaced();
                         self.schedule();
                         let interval = Millis(self.dependencies.settings.schedule_ms).duration();
                         next_schedule = Instant::now() + interval;
--- a/serving/src/batch/owner/writes.rs
+++ b/serving/src/batch/owner/writes.rs
@@ -45,6 +45,7 @@
     /// An earlier attempt may have taken effect; the same append has to be repeated until its
     /// outcome is known.
     uncertain: bool,
+    /// Time of `CLOCK_BOOTTIME`.
     started_at: Millis,
     task: JoinHandle<log_store::Result<()>>,
 }
@@ -81,7 +82,7 @@
             sleep(delay.duration()).await;
             store.append(&partition, &producer, &records).await
         });
-        let started_at = self.dependencies.context.clock.now();
+        let started_at = self.dependencies.context.clock.boot_time();
         self.pending_append = Some(PendingAppend { writes, uncertain, started_at, task });
     }
 
@@ -95,7 +96,7 @@
         match result {
             Ok(()) => {
                 self.producer.sequence += 1;
-                self.verification.set(started_at);
+                self.tenure.confirm(started_at);
                 writes.into_iter().for_each(|write| self.handle_durable(write.effect));
                 self.answer_reads(Instant::now());
                 self.schedule();
--- a/serving/src/batch/run.rs
+++ b/serving/src/batch/run.rs
@@ -11,6 +11,7 @@
 use crate::{
     balance::Outcome,
     exchange::{Context, Permit, events::Splitter, process, state::health_outcome},
+    tenure::Tenure,
     time::Millis,
     uplink::{Sign, check_path},
     upstream::{self, Failure, FailureKind, Options, Request},
@@ -33,6 +34,8 @@
     pub(super) request: Request,
     pub(super) progress: Progress,
     pub(super) permit: Permit,
+    /// Sends of the item end with the tenure of its owner; the run that has begun goes on.
+    pub(super) tenure: Tenure,
     pub(super) settings: Settings,
     /// Pauses the run, to free its slot at the upstream.
     pub(super) pause: oneshot::Receiver<()>,
@@ -101,6 +104,7 @@
                     FailureKind::Connect
                     | FailureKind::NoPath
                     | FailureKind::Announced
+                    | FailureKind::Lapsed
                     | FailureKind::Overloaded
                     | FailureKind::Misdirected => None,
                 };
@@ -132,6 +136,7 @@
             upstream: &self.permit.pick.upstream,
             deadline: Some(Duration::from_millis(self.settings.run_ms)),
             resume_after: self.progress.last_event,
+            tenure: Some(&self.tenure),
         };
         let max_silence = Duration::from_millis(self.settings.silence_ms);
         let context = Arc::clone(&self.context);
--- a/serving/src/exchange/driver.rs
+++ b/serving/src/exchange/driver.rs
@@ -513,6 +513,7 @@
                 upstream: &pick.upstream,
                 deadline: Some(remaining),
                 resume_after,
+                tenure: None,
             };
             let answer = context.send(&routed.request, options, &pick, is_retryable).await?;
             let is_stream = matches!(routed.route.kind, Kind::Stream { .. });
--- a/serving/src/exchange/process.rs
+++ b/serving/src/exchange/process.rs
@@ -42,8 +42,12 @@
         body: bytes::Bytes::new(),
         workspace: None,
     };
-    let options =
-        Options { upstream: &pick.upstream, deadline: Some(REPORT_TIMEOUT), resume_after: None };
+    let options = Options {
+        upstream: &pick.upstream,
+        deadline: Some(REPORT_TIMEOUT),
+        resume_after: None,
+        tenure: None,
+    };
     let report = async {
         let pool = &context.pool;
         let answer =
--- a/serving/src/exchange/state.rs
+++ b/serving/src/exchange/state.rs
@@ -288,7 +288,7 @@
 pub fn health_outcome(failure: &Failure) -> Outcome {
     match failure.kind {
         FailureKind::Overloaded => Outcome::Full,
-        FailureKind::NoPath | FailureKind::Announced => Outcome::Neutral,
+        FailureKind::NoPath | FailureKind::Announced | FailureKind::Lapsed => Outcome::Neutral,
         FailureKind::Misdirected => Outcome::Misdirected,
         FailureKind::Connect | FailureKind::TimedOut | FailureKind::Broken => Outcome::Failed,
     }
--- a/serving/src/exchange/task.rs
+++ b/serving/src/exchange/task.rs
@@ -20,6 +20,7 @@
     origins::Origins,
     parts::{self, Prompt},
     quarantine::{Fingerprint, Quarantine, Status},
+    tenure::Epochs,
     time::{Clock, Millis},
     uplink::{self, Health, Sign, Verdict},
     upstream::{self, Codec, Failure, FailureKind, Pool, Request},
@@ -50,6 +51,8 @@
     pub uplink: Mutex<uplink::State>,
     /// Nodes through which requests go while it doesn't.
     pub forwarders: Forwarders,
+    /// The owners of partitions, whose requests this node may forward.
+    pub epochs: Epochs,
     pub pool: Arc<Pool>,
     pub codec: Arc<dyn Codec>,
     pub metrics: Arc<Metrics>,
--- a/serving/src/forward/client.rs
+++ b/serving/src/forward/client.rs
@@ -21,13 +21,17 @@
     exchange::Context,
     id::Upstream,
     parts::Prompt,
+    tenure::{Claim, Tenure},
     time::{Clock, Millis},
-    upstream::{self, Answer, Codec, Delivery, Failure, Forwarded, Head, Options, Pool, Request},
+    upstream::{
+        self, Answer, Codec, Delivery, Failure, FailureKind, Forwarded, Head, Options, Pool,
+        Request,
+    },
 };
 
 use super::{
     Choice, Outcome, State,
-    message::{self, OUTCOME, PROBE, REQUEST, RETRYABLE, TIMEOUT, UNFRAMED, UPSTREAM},
+    message::{self, CLAIM, OUTCOME, PROBE, REQUEST, RETRYABLE, TIMEOUT, UNFRAMED, UPSTREAM},
 };
 
 /// Maximum number of forwarders that one send tries. Those that can't forward it don't count as
@@ -51,7 +55,7 @@
     fn default() -> Forwarders {
         Forwarders {
             state: Mutex::default(),
-            pool: Arc::new(Pool::new(upstream::Settings::default())),
+            pool: Arc::new(Pool::resetting(upstream::Settings::default())),
             capacity: Arc::new(Semaphore::new(MAX_FORWARDED)),
         }
     }
@@ -136,6 +140,11 @@
         message::insert(&mut headers, UPSTREAM, &self.upstream.0);
         message::insert(&mut headers, REQUEST, &request.id);
         message::insert(&mut headers, RETRYABLE, &self.is_retryable.to_string());
+        if let Some(tenure) = options.tenure {
+            let remaining = tenure.remaining().unwrap_or_default();
+            let claim = Claim { ownership: tenure.ownership, remaining };
+            message::insert(&mut headers, CLAIM, &claim.to_string());
+        }
         self.access.sign(&mut headers);
         if self.is_probe {
             message::insert(&mut headers, PROBE, "true");
@@ -230,6 +239,14 @@
                 context.count_forwarded("sent", "broken");
                 return Err(Failure::broken(through("the exchange failed")));
             }
+            Some(Outcome::Replaced) => {
+                if options.tenure.is_some_and(Tenure::end) {
+                    log::warn!(forwarder:% = address, request = request.id.as_str(); "the owner of a partition has been replaced");
+                }
+                context.count_forwarded("sent", "replaced");
+                return Err(Failure::lapsed());
+            }
+            None if failure.kind == FailureKind::Lapsed => return Err(failure),
             // The forwarder passes what the upstream responds on as it is.
             None if failure.delivery == Delivery::Refused => return Err(failure),
             None if failure.delivery == Delivery::Sent => {
@@ -270,7 +287,8 @@
         is_unframed: AtomicBool::new(false),
     };
     let forwarder = hop.name();
-    let options = Options { upstream: &forwarder, deadline: None, resume_after: None };
+    let options =
+        Options { upstream: &forwarder, deadline: None, resume_after: None, tenure: None };
     let asking = context.forwarders.pool.send(&codec, &request, options, address, true, &|_| ());
     // The outcome is in the head, which the pool reports as a refusal.
     let _ = tokio::time::timeout(PROBE_TIMEOUT, asking).await;
--- a/serving/src/forward/message.rs
+++ b/serving/src/forward/message.rs
@@ -16,6 +16,8 @@
 pub(super) const TIMEOUT: HeaderName = HeaderName::from_static("forward-timeout-ms");
 /// Whether the request may be sent again after it may have run.
 pub(super) const RETRYABLE: HeaderName = HeaderName::from_static("forward-retryable");
+/// The tenure under which the request is sent. Holds a [`crate::tenure::Claim`].
+pub(super) const CLAIM: HeaderName = HeaderName::from_static("forward-claim");
 /// Asks only whether the forwarder reaches the upstream.
 pub(super) const PROBE: HeaderName = HeaderName::from_static("forward-probe");
 /// The forwarder has no response of the upstream. Holds an [`Outcome`].
@@ -25,7 +27,7 @@
 
 /// Removes the headers that belong to the connection between two nodes.
 pub(super) fn strip(headers: &mut HeaderMap) {
-    for name in [UPSTREAM, REQUEST, TIMEOUT, RETRYABLE, PROBE, OUTCOME, UNFRAMED, TOKEN] {
+    for name in [UPSTREAM, REQUEST, TIMEOUT, RETRYABLE, CLAIM, PROBE, OUTCOME, UNFRAMED, TOKEN] {
         headers.remove(name);
     }
 }
@@ -48,6 +50,9 @@
     Unreachable,
     /// The forwarder did not try: it has no path, no capacity, or doesn't know the upstream.
     Refused,
+    /// The forwarder did not try: it knows a later owner than the one that sends the request. Replies to
+    /// requests with a claim only, because older nodes don't know it.
+    Replaced,
     /// The upstream may have run the request, and its response is missing or invalid.
     Broken,
 }
@@ -58,6 +63,7 @@
             Outcome::Reachable => "reachable",
             Outcome::Unreachable => "unreachable",
             Outcome::Refused => "refused",
+            Outcome::Replaced => "replaced",
             Outcome::Broken => "broken",
         })
     }
@@ -76,6 +82,7 @@
             "reachable" => Ok(Outcome::Reachable),
             "unreachable" => Ok(Outcome::Unreachable),
             "refused" => Ok(Outcome::Refused),
+            "replaced" => Ok(Outcome::Replaced),
             "broken" => Ok(Outcome::Broken),
             _ => Err(InvalidOutcome(text.to_string())),
         }
--- a/serving/src/forward/server.rs
+++ b/serving/src/forward/server.rs
@@ -24,13 +24,14 @@
     exchange::{Context, Truncated},
     id::{Upstream, Version},
     parts::Prompt,
+    tenure::{Claim, Tenure},
     time::Millis,
     uplink::{self, Health, Sign},
     upstream::{self, Body, Codec, Delivery, FailureKind, Head, Options},
 };
 
 use super::message::{
-    self, OUTCOME, Outcome, PROBE, REQUEST, RETRYABLE, TIMEOUT, UNFRAMED, UPSTREAM,
+    self, CLAIM, OUTCOME, Outcome, PROBE, REQUEST, RETRYABLE, TIMEOUT, UNFRAMED, UPSTREAM,
 };
 
 /// Limit on the duration of a request whose sender names none.
@@ -138,6 +139,14 @@
     let timeout = text(TIMEOUT).and_then(|timeout| timeout.parse().ok());
     let timeout = timeout.map_or(DEFAULT_TIMEOUT, Duration::from_millis);
     let is_probe = text(PROBE).is_some();
+    let tenure = match text(CLAIM).map(str::parse::<Claim>) {
+        Some(Ok(claim)) => Some(receive_claim(context, claim)?),
+        Some(Err(error)) => {
+            log::warn!(error:% = error; "refused to forward a request whose claim is invalid");
+            return Err(Outcome::Refused);
+        }
+        None => None,
+    };
     let host = text(HOST).unwrap_or_default().to_string();
     let pick = find(context, &upstream).ok_or(Outcome::Refused)?;
     if is_probe {
@@ -161,11 +170,17 @@
         workspace: None,
     };
     let deadline = Instant::now() + timeout;
-    let options = Options { upstream: &upstream, deadline: Some(timeout), resume_after: None };
+    let options = Options {
+        upstream: &upstream,
+        deadline: Some(timeout),
+        resume_after: None,
+        tenure: tenure.as_ref(),
+    };
     let codec = Verbatim(context.codec.as_ref());
     let sending = context.pool.send(&codec, &request, options, pick.address, is_retryable, &|_| ());
     let answer = match timeout_at(deadline, sending).await {
         Ok(Ok(answer)) => answer,
+        Ok(Err(failure)) if failure.kind == FailureKind::Lapsed => return Err(Outcome::Refused),
         Ok(Err(failure)) if failure.delivery == Delivery::NotSent => {
             if failure.kind == FailureKind::Connect {
                 uplink::check_path(context, &pick, Sign::ConnectFailed);
@@ -187,6 +202,16 @@
     Ok(Response::from_parts(parts, Chunks::new(answer.body, deadline, permit)))
 }
 
+/// The tenure of a request's sender, as far as this node knows.
+fn receive_claim(context: &Context, claim: Claim) -> Result<Tenure, Outcome> {
+    let Claim { ownership, remaining } = claim;
+    if context.epochs.is_replaced(ownership) {
+        log::warn!(partition = ownership.partition, epoch = ownership.epoch, remaining_ms = remaining.0; "refused to forward a request of an owner that has been replaced");
+        return Err(Outcome::Replaced);
+    }
+    Ok(Tenure::new(context.clock.clone(), ownership, remaining, context.clock.boot_time()))
+}
+
 /// Whether this node reaches an upstream. It refuses to say so if its own path is down.
 async fn probe(context: &Arc<Context>, pick: &Pick) -> Outcome {
     if context.pool.is_reachable(pick.address).await {
--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -26,6 +26,7 @@
 
 pub mod quarantine;
 pub mod telemetry;
+pub mod tenure;
 pub mod time;
 pub mod uplink;
 pub mod upstream;
--- a/serving/src/node.rs
+++ b/serving/src/node.rs
@@ -22,6 +22,7 @@
     origins::Origins,
     parts,
     quarantine::Quarantine,
+    tenure::Epochs,
     time::{Clock, Millis},
     upstream,
 };
@@ -84,6 +85,7 @@
             parts: Mutex::new(parts::State::new(identity.seed)),
             uplink: Mutex::default(),
             forwarders: Forwarders::default(),
+            epochs: Epochs::default(),
             pool: Arc::new(upstream::Pool::new(settings.pool)),
             codec,
             metrics,
--- a/serving/src/upstream/call.rs
+++ b/serving/src/upstream/call.rs
@@ -44,6 +44,8 @@
     /// The request may not move to the version of this upstream, because other nodes may still hold
     /// the version that it was announced with.
     Announced,
+    /// The sender's tenure, under which it sends the request, has ended.
+    Lapsed,
     /// The upstream rejected the request for lack of capacity.
     Overloaded,
     /// The address now belongs to another upstream.
@@ -60,6 +62,7 @@
             FailureKind::Connect => "connect",
             FailureKind::NoPath => "no_path",
             FailureKind::Announced => "announced",
+            FailureKind::Lapsed => "lapsed",
             FailureKind::Overloaded => "overloaded",
             FailureKind::Misdirected => "misdirected",
             FailureKind::TimedOut => "timed_out",
@@ -95,6 +98,12 @@
         Failure { kind: FailureKind::Announced, delivery: Delivery::NotSent, message }
     }
 
+    /// The sender may no longer act for what the request belongs to.
+    pub(crate) fn lapsed() -> Failure {
+        let message = "the tenure of the request's owner has ended".to_string();
+        Failure { kind: FailureKind::Lapsed, delivery: Delivery::NotSent, message }
+    }
+
     /// The upstream responded that it did not run the request.
     fn refused(kind: FailureKind, message: &str) -> Failure {
         Failure { kind, delivery: Delivery::Refused, message: message.to_string() }
@@ -178,7 +187,11 @@
         let response = match send_request(&mut connection, codec, request, options).await {
             // The upstream closed the idle connection before any byte of the request was sent, so
             // sending the request again on another connection can't run it twice.
-            Err(failure) if failure.delivery == Delivery::NotSent && connection.is_reused => {
+            Err(failure)
+                if failure.delivery == Delivery::NotSent
+                    && failure.kind != FailureKind::Lapsed
+                    && connection.is_reused =>
+            {
                 connection = self
                     .check_out(options.upstream, address, false)
                     .await
@@ -375,6 +388,10 @@
     *message.method_mut() = request.method.clone();
     *message.uri_mut() = request.target.clone();
     *message.headers_mut() = codec.encode(request, options);
+    // Checked last, because the process may have been suspended since the request was chosen.
+    if options.tenure.is_some_and(|tenure| tenure.remaining().is_none()) {
+        return Err(Failure::lapsed());
+    }
     let response = connection.sender.try_send_request(message);
     response.await.map_err(|mut error| {
         // hyper hands the request back if it did not start to send it.
--- a/serving/src/upstream/mod.rs
+++ b/serving/src/upstream/mod.rs
@@ -14,6 +14,7 @@
     balance::{Stated, limit::Rate},
     id::Workspace,
     parts::Prompt,
+    tenure::Tenure,
     time::Millis,
 };
 
@@ -50,6 +51,8 @@
     pub deadline: Option<Duration>,
     /// Index of the last event that the caller has; the stream resumes after it.
     pub resume_after: Option<u64>,
+    /// The tenure under which the request is sent, at the end of which it no longer may be.
+    pub tenure: Option<&'a Tenure>,
 }
 
 /// Protocol information from the head of a response, as decoded by a [`Codec`].
--- a/serving/src/upstream/pool.rs
+++ b/serving/src/upstream/pool.rs
@@ -85,6 +85,10 @@
 /// Idle connections by upstream and address; the most recently used one is reused first.
 pub struct Pool {
     settings: Settings,
+    /// Whether connections are reset when they are closed, so that the system discards what it has
+    /// not delivered yet. Otherwise it goes on trying, and a request may arrive long after it was given
+    /// up.
+    is_resetting: bool,
     idle: Mutex<BTreeMap<(Upstream, SocketAddr), Vec<IdleConnection>>>,
     /// KiB of memory that are left for collected bodies.
     pub(super) collected_kib: Arc<Semaphore>,
@@ -94,11 +98,18 @@
     pub fn new(settings: Settings) -> Pool {
         Pool {
             settings,
+            is_resetting: false,
             idle: Mutex::new(BTreeMap::new()),
             collected_kib: Arc::new(Semaphore::new(MAX_COLLECTED_KIB)),
         }
     }
 
+    /// A pool that resets connections instead of closing them, for requests that must not arrive after
+    /// they were given up.
+    pub fn resetting(settings: Settings) -> Pool {
+        Pool { is_resetting: true, ..Pool::new(settings) }
+    }
+
     /// Closes the idle connections to an upstream.
     pub fn close_idle(&self, upstream: &Upstream) {
         self.lock().retain(|(other, _), _| other != upstream);
@@ -184,6 +195,11 @@
             .map_err(|error| format!("connecting failed: {error}"))?;
         let setup = started.elapsed();
         stream.set_nodelay(true).map_err(|error| format!("setting TCP_NODELAY failed: {error}"))?;
+        if self.is_resetting {
+            stream
+                .set_zero_linger()
+                .map_err(|error| format!("setting SO_LINGER failed: {error}"))?;
+        }
         let meter = Arc::new(Meter::default());
         let stream = MeteredStream { stream, meter: Arc::clone(&meter) };
         let (sender, connection) = http1::Builder::new()
--- a/serving/tests/jobs.rs
+++ b/serving/tests/jobs.rs
@@ -28,6 +28,7 @@
     origins::Origins,
     parts::{self, Prompt},
     quarantine::Quarantine,
+    tenure::Epochs,
     time::{Clock, Millis},
     upstream::{self, Codec, Options, Pool, Request},
 };
@@ -185,6 +186,7 @@
             parts: Mutex::new(parts::State::new(1)),
             uplink: Mutex::default(),
             forwarders: Forwarders::default(),
+            epochs: Epochs::default(),
             pool: Arc::new(Pool::new(upstream::Settings::default())),
             codec,
             metrics: Arc::new(Metrics::default()),
