fix(upstream): let a refusal on a reused connection count only for the request that it names

What callers saw, in a report of operators of a similar system: refused requests that ran, and requests that ran twice, behind a refusal that an upstream wrote once more on a kept connection.

Cause: a response without an id counted as one to the request in flight, also if it promises that the request has not run. One with another id was already a broken exchange.

Change: on a connection that has carried other requests such a promise counts only with the request's id. The node next to the upstream decides; the one that it forwards for trusts it.

Tests failed before: 2 of 3 of platform/tests/refusals.rs (a request that must not repeat ran twice, on the own path and through another node).

--- a/serving/src/forward/client.rs
+++ b/serving/src/forward/client.rs
@@ -168,7 +168,8 @@
             return Head { not_run: true, ..Head::default() };
         }
         self.is_unframed.store(parts.headers.contains_key(UNFRAMED), Ordering::Relaxed);
-        self.inner.decode(parts)
+        // The forwarder has checked to which request it belongs.
+        Head { is_promise: false, ..self.inner.decode(parts) }
     }
 }
 
--- a/serving/src/upstream/call.rs
+++ b/serving/src/upstream/call.rs
@@ -211,6 +211,10 @@
         if head.request.as_ref().is_some_and(|id| *id != request.id) {
             return Err(Failure::broken("the answer belongs to another request"));
         }
+        // An upstream may write an earlier refusal once more.
+        if head.is_promise && head.request.is_none() && connection.is_reused {
+            return Err(Failure::broken("a refusal on a reused connection names no request"));
+        }
         if head.misdirected {
             return Err(Failure::refused(
                 FailureKind::Misdirected,
--- a/serving/src/upstream/mod.rs
+++ b/serving/src/upstream/mod.rs
@@ -66,6 +66,9 @@
     pub not_run: bool,
     /// The address belongs to another upstream than the intended one.
     pub misdirected: bool,
+    /// The response promises that the request has not run. On a connection that has carried other
+    /// requests it counts only if it names the request.
+    pub is_promise: bool,
     /// Time for which the upstream keeps an idle connection open.
     pub keep_alive: Option<Millis>,
     /// The upstream closes the connection after this response.
