--- a/serving/src/balance/replica.rs
+++ b/serving/src/balance/replica.rs
@@ -138,9 +138,10 @@
                 let limit = criteria.objective.0 as f64 * settings.wait_share;
                 match self.wait_ms(service_mean, settings) {
                     Some(wait) => {
-                        wait <= limit && load.online < slots + settings.queue_per_upstream
+                        wait <= limit
+                            && load.online < slots.saturating_add(settings.queue_per_upstream)
                     }
-                    None => load.total() < slots + settings.queue_unknown,
+                    None => load.total() < slots.saturating_add(settings.queue_unknown),
                 }
             }
         }
--- a/serving/src/balance/state.rs
+++ b/serving/src/balance/state.rs
@@ -395,7 +395,7 @@
     /// that requests at this rate fill.
     pub fn occupancy(&self, now: Millis, service: &Service) -> (Load, u32) {
         let mut sum = Load::default();
-        let mut slots = 0;
+        let mut slots: u32 = 0;
         let Some(members) = self.services.get(service) else { return (sum, slots) };
         let mean_duration = members.mean_duration;
         for replica in members.upstreams.iter().map(|upstream| &self.replicas[upstream]) {
@@ -407,10 +407,11 @@
             }
             let load = replica.load();
             sum = sum + load;
-            slots += match self.limits.rate(replica.process) {
+            let own = match self.limits.rate(replica.process) {
                 Some(rate) => replica.slots_at(rate, mean_duration),
                 None => replica.entry.slots,
             };
+            slots = slots.saturating_add(own);
         }
         (sum, slots)
     }
