fix(fleet): end the grace period of missing entries within three seconds of the last failed read

Cause: a node can't tell its own cut from an outage of the registry, in which entries lapse although their upstreams run, and keeps missing entries for 2.5 s after the first answer. A read that hangs delays that answer by up to 1.1 s, so that the node was expected to know better by then.

Change: missing entries are kept for 2.9 s at most after the sending of the last read that failed, since when the registry may have been back.

Test: serving/tests/fleet.rs; the state before kept the entry for 2,500 ms in each case.

--- a/serving/src/fleet.rs
+++ b/serving/src/fleet.rs
@@ -29,6 +29,10 @@
 /// Time after an outage of the registry for which missing entries are kept. Upstreams renew their
 /// registration within about two seconds.
 const GRACE_PERIOD: Millis = Millis(2_500);
+/// Limit of the grace period, from the sending of the last read that failed. The registry may have been
+/// back since then, or only this node was without it, and is expected to know which upstreams have left
+/// three seconds after.
+const MAX_GRACE_AFTER_FAILURE: Millis = Millis(2_900);
 /// Minimum time without an answer of the registry that counts as an outage.
 const MIN_OUTAGE: Millis = Millis(1_500);
 
@@ -97,6 +101,8 @@
     missing_until: BTreeMap<Upstream, Millis>,
     /// Time at which the registry last answered.
     last_answer: Option<Millis>,
+    /// When the last read was sent that failed since the last answer.
+    last_failure: Option<Millis>,
     /// End of the grace period. An entry that disappears before this time is kept until then.
     grace_until: Millis,
     /// Start of the time of which all changes of the registry are known, up to the latest read.
@@ -113,12 +119,19 @@
         &self.entries
     }
 
+    /// Records that a read of the registry failed that was sent at `sent_at`.
+    pub fn record_registry_failure(&mut self, sent_at: Millis) {
+        self.last_failure = Some(sent_at);
+    }
+
     /// Records that the registry answered a read, which starts the grace period after an outage.
     /// Must be called before the records of that read are applied.
     pub fn record_registry_read(&mut self, now: Millis) {
         if self.last_answer.is_some_and(|last| now - last >= MIN_OUTAGE) {
-            self.grace_until = now + GRACE_PERIOD;
+            let limit = self.last_failure.unwrap_or(now) + MAX_GRACE_AFTER_FAILURE;
+            self.grace_until = limit.min(now + GRACE_PERIOD);
         }
+        self.last_failure = None;
         self.last_answer = Some(now);
     }
 
--- a/serving/src/node.rs
+++ b/serving/src/node.rs
@@ -131,6 +131,11 @@
         lock(&self.exchange.fleet).record_registry_read(self.exchange.clock.boot_time());
     }
 
+    /// Records that a read of the registry failed that was sent at `sent_at`.
+    pub fn record_registry_failure(&self, sent_at: Millis) {
+        lock(&self.exchange.fleet).record_registry_failure(sent_at);
+    }
+
     /// Records that everything was applied that a read of the registry returned which was sent at
     /// `sent_at`.
     pub fn confirm_registry_read(&self, sent_at: Millis) {
--- a/serving/tests/fleet.rs
+++ b/serving/tests/fleet.rs
@@ -62,6 +62,30 @@
     assert!(state.entries().is_empty());
 }
 
+/// Guards against a node that was cut off from the registry alone and sends requests to upstreams that
+/// left meanwhile, because it takes its own cut for an outage of the registry.
+#[test]
+fn grace_period_ends_within_three_seconds_of_the_last_failed_read() {
+    for (failed_at, grace) in [(5_900, 2_500), (4_900, 1_800), (0, 0)] {
+        let mut state = State::default();
+        state.record_registry_read(Millis(0));
+        state.upsert(Millis(0), id(), entry(1, false));
+        state.record_registry_failure(Millis(failed_at));
+        state.record_registry_read(Millis(6_000));
+        let gone = state.remove(Millis(6_000), &id());
+        let gone = gone.into_iter().chain(state.expire(Millis(6_000 + grace)));
+        assert_eq!(gone.collect::<Vec<_>>(), [Change::Gone(id())], "failed at {failed_at}");
+        let mut state = State::default();
+        state.record_registry_read(Millis(0));
+        state.upsert(Millis(0), id(), entry(1, false));
+        state.record_registry_failure(Millis(failed_at));
+        state.record_registry_read(Millis(6_000));
+        state.remove(Millis(6_000), &id());
+        let early = state.expire(Millis(6_000 + grace) - Millis(1));
+        assert_eq!(early, [], "failed at {failed_at}");
+    }
+}
+
 #[test]
 fn draining_upstream_has_no_grace_period() {
     let mut state = State::default();
