fix(forward): refuse requests for upstreams that are known to be leaving

Cause: a node that forwards sent to whichever upstream the sender named, and ignored the header of leaving upstreams in the responses that it passed on.

Change: it refuses these requests, with a header that tells the sender why, who then leaves the upstream out. It remembers what responses say.

--- a/serving/src/balance/state.rs
+++ b/serving/src/balance/state.rs
@@ -295,6 +295,13 @@
         previous != Some(pick.started)
     }
 
+    /// Whether an upstream gets no more requests because it is leaving, as the registry or the upstream
+    /// itself says.
+    pub fn is_leaving(&self, upstream: &Upstream) -> bool {
+        let replica = self.replicas.get(upstream);
+        replica.is_some_and(|replica| replica.entry.draining || replica.is_leaving)
+    }
+
     /// Records the load and pace in a response of the process that `pick` names. Without a pace nothing
     /// changes.
     pub fn record_stated(&mut self, now: Millis, pick: &Pick, stated: Stated) {
--- a/serving/src/batch/run.rs
+++ b/serving/src/batch/run.rs
@@ -109,6 +109,7 @@
                     FailureKind::Connect
                     | FailureKind::NoPath
                     | FailureKind::Announced
+                    | FailureKind::Leaving
                     | FailureKind::Lapsed
                     | FailureKind::Overloaded
                     | FailureKind::Misdirected => None,
--- a/serving/src/exchange/state.rs
+++ b/serving/src/exchange/state.rs
@@ -288,7 +288,10 @@
 pub fn health_outcome(failure: &Failure) -> Outcome {
     match failure.kind {
         FailureKind::Overloaded => Outcome::Full,
-        FailureKind::NoPath | FailureKind::Announced | FailureKind::Lapsed => Outcome::Neutral,
+        FailureKind::NoPath
+        | FailureKind::Announced
+        | FailureKind::Leaving
+        | FailureKind::Lapsed => Outcome::Neutral,
         FailureKind::Misdirected => Outcome::Misdirected,
         FailureKind::Connect | FailureKind::TimedOut | FailureKind::Broken => Outcome::Failed,
     }
--- a/serving/src/exchange/task.rs
+++ b/serving/src/exchange/task.rs
@@ -321,7 +321,7 @@
         }
     }
 
-    fn record_leaving(&self, pick: &Pick) {
+    pub(crate) fn record_leaving(&self, pick: &Pick) {
         if self.balance().record_leaving(pick) {
             self.pool.close_idle(&pick.upstream);
             log::info!(upstream = pick.upstream.0.as_str(), started = pick.started; "upstream says that it is leaving; it gets no more requests");
--- a/serving/src/forward/client.rs
+++ b/serving/src/forward/client.rs
@@ -31,7 +31,9 @@
 
 use super::{
     Choice, Outcome, State,
-    message::{self, CLAIM, OUTCOME, PROBE, REQUEST, RETRYABLE, TIMEOUT, UNFRAMED, UPSTREAM},
+    message::{
+        self, CLAIM, LEAVING, OUTCOME, PROBE, REQUEST, RETRYABLE, TIMEOUT, UNFRAMED, UPSTREAM,
+    },
 };
 
 /// Maximum number of forwarders that one send tries. Those that can't forward it don't count as
@@ -162,7 +164,10 @@
     fn decode(&self, parts: &http::response::Parts) -> Head {
         let outcome = parts.headers.get(OUTCOME).and_then(|value| value.to_str().ok());
         if let Some(outcome) = outcome {
-            let outcome = outcome.parse().unwrap_or(Outcome::Broken);
+            let outcome = match parts.headers.contains_key(LEAVING) {
+                true => Outcome::Leaving,
+                false => outcome.parse().unwrap_or(Outcome::Broken),
+            };
             let _ = self.outcome.set(outcome);
             // The pool discards the body and keeps the connection.
             return Head { not_run: true, ..Head::default() };
@@ -240,6 +245,11 @@
                 context.count_forwarded("sent", "broken");
                 return Err(Failure::broken(through("the exchange failed")));
             }
+            Some(Outcome::Leaving) => {
+                on_head(&Head { is_leaving: true, ..Head::default() });
+                context.count_forwarded("sent", "leaving");
+                return Err(Failure::leaving(through("the upstream is leaving")));
+            }
             Some(Outcome::Replaced) => {
                 if options.tenure.is_some_and(Tenure::end) {
                     log::warn!(forwarder:% = address, request = request.id.as_str(); "the owner of a partition has been replaced");
--- a/serving/src/forward/message.rs
+++ b/serving/src/forward/message.rs
@@ -22,12 +22,16 @@
 pub(super) const PROBE: HeaderName = HeaderName::from_static("forward-probe");
 /// The forwarder has no response of the upstream. Holds an [`Outcome`].
 pub(super) const OUTCOME: HeaderName = HeaderName::from_static("forward-outcome");
+/// Says why the forwarder refused: the upstream is leaving.
+pub(super) const LEAVING: HeaderName = HeaderName::from_static("forward-leaving");
 /// The upstream's response has neither a length nor chunks.
 pub(super) const UNFRAMED: HeaderName = HeaderName::from_static("forward-unframed");
 
 /// Removes the headers that belong to the connection between two nodes.
 pub(super) fn strip(headers: &mut HeaderMap) {
-    for name in [UPSTREAM, REQUEST, TIMEOUT, RETRYABLE, CLAIM, PROBE, OUTCOME, UNFRAMED, TOKEN] {
+    for name in
+        [UPSTREAM, REQUEST, TIMEOUT, RETRYABLE, CLAIM, PROBE, OUTCOME, LEAVING, UNFRAMED, TOKEN]
+    {
         headers.remove(name);
     }
 }
@@ -50,6 +54,9 @@
     Unreachable,
     /// The forwarder did not try: it has no path, no capacity, or doesn't know the upstream.
     Refused,
+    /// The forwarder did not try: it knows that the upstream is leaving. Sent as a refusal with a header
+    /// of its own, because older nodes don't know it.
+    Leaving,
     /// The forwarder did not try: it knows a later owner than the one that sends the request. Replies to
     /// requests with a claim only, because older nodes don't know it.
     Replaced,
@@ -63,6 +70,7 @@
             Outcome::Reachable => "reachable",
             Outcome::Unreachable => "unreachable",
             Outcome::Refused => "refused",
+            Outcome::Leaving => "leaving",
             Outcome::Replaced => "replaced",
             Outcome::Broken => "broken",
         })
--- a/serving/src/forward/server.rs
+++ b/serving/src/forward/server.rs
@@ -31,7 +31,7 @@
 };
 
 use super::message::{
-    self, CLAIM, OUTCOME, Outcome, PROBE, REQUEST, RETRYABLE, TIMEOUT, UNFRAMED, UPSTREAM,
+    self, CLAIM, LEAVING, OUTCOME, Outcome, PROBE, REQUEST, RETRYABLE, TIMEOUT, UNFRAMED, UPSTREAM,
 };
 
 /// Limit on the duration of a request whose sender names none.
@@ -120,7 +120,14 @@
     context.count_forwarded("taken", &outcome.to_string());
     let mut response = Response::new(Chunks::empty());
     *response.status_mut() = StatusCode::BAD_GATEWAY;
-    message::insert(response.headers_mut(), OUTCOME, &outcome.to_string());
+    let sent = match outcome {
+        Outcome::Leaving => {
+            message::insert(response.headers_mut(), LEAVING, "true");
+            Outcome::Refused
+        }
+        outcome => outcome,
+    };
+    message::insert(response.headers_mut(), OUTCOME, &sent.to_string());
     response
 }
 
@@ -152,6 +159,10 @@
     if is_probe {
         return Err(probe(context, &pick).await);
     }
+    if context.balance().is_leaving(&upstream) {
+        log::info!(request = id.as_str(), upstream = upstream.0.as_str(); "refused to forward a request to an upstream that is leaving");
+        return Err(Outcome::Leaving);
+    }
     if !context.uplink().can_forward(context.clock.now()) {
         return Err(Outcome::Refused);
     }
@@ -177,7 +188,13 @@
         tenure: tenure.as_ref(),
     };
     let codec = Verbatim(context.codec.as_ref());
-    let sending = context.pool.send(&codec, &request, options, pick.address, is_retryable, &|_| ());
+    let on_head = |head: &Head| {
+        if head.is_leaving {
+            context.record_leaving(&pick);
+        }
+    };
+    let sending =
+        context.pool.send(&codec, &request, options, pick.address, is_retryable, &on_head);
     let answer = match timeout_at(deadline, sending).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(failure)) if failure.kind == FailureKind::Lapsed => return Err(Outcome::Refused),
--- a/serving/src/uplink/task.rs
+++ b/serving/src/uplink/task.rs
@@ -65,10 +65,12 @@
     match forward::ask(context, &pick.upstream).await {
         Some(Outcome::Unreachable) => Verdict::UpstreamDown,
         Some(Outcome::Reachable) => Verdict::NotUpstream,
-        Some(Outcome::Refused | Outcome::Replaced | Outcome::Broken) | None if has_path => {
-            Verdict::UpstreamDown
+        Some(Outcome::Refused | Outcome::Leaving | Outcome::Replaced | Outcome::Broken) | None => {
+            match has_path {
+                true => Verdict::UpstreamDown,
+                false => Verdict::NotUpstream,
+            }
         }
-        Some(Outcome::Refused | Outcome::Replaced | Outcome::Broken) | None => Verdict::NotUpstream,
     }
 }
 
--- a/serving/src/upstream/call.rs
+++ b/serving/src/upstream/call.rs
@@ -44,6 +44,8 @@
     /// The request may not move to the version of this upstream, because other nodes may still hold
     /// the version that it was announced with.
     Announced,
+    /// The upstream is leaving, so that the request was not sent there.
+    Leaving,
     /// The sender's tenure, under which it sends the request, has ended.
     Lapsed,
     /// The upstream rejected the request for lack of capacity.
@@ -62,6 +64,7 @@
             FailureKind::Connect => "connect",
             FailureKind::NoPath => "no_path",
             FailureKind::Announced => "announced",
+            FailureKind::Leaving => "leaving",
             FailureKind::Lapsed => "lapsed",
             FailureKind::Overloaded => "overloaded",
             FailureKind::Misdirected => "misdirected",
@@ -98,6 +101,11 @@
         Failure { kind: FailureKind::Announced, delivery: Delivery::NotSent, message }
     }
 
+    /// The upstream is leaving, and the request was not sent there.
+    pub(crate) fn leaving(message: String) -> Failure {
+        Failure { kind: FailureKind::Leaving, delivery: Delivery::NotSent, message }
+    }
+
     /// The sender may no longer act for what the request belongs to.
     pub(crate) fn lapsed() -> Failure {
         let message = "the tenure of the request's owner has ended".to_string();
