fix(batch): let the last append of an owner go on when the owner ends

Cause: found while reading the diff: the owner's end aborted its append in progress, which may hold results that the next owner then has to run again.

--- a/serving/src/batch/owner/writes.rs
+++ b/serving/src/batch/owner/writes.rs
@@ -223,8 +223,8 @@
     /// Passes the failed runs that this owner could not save on to later owners. Each run has a key of
     /// its own, so that one that was saved after all still counts once.
     fn drop(&mut self) {
+        // The append itself goes on.
         if let Some(pending) = self.pending_append.take() {
-            pending.task.abort();
             self.keep_failures(&pending.writes);
         }
         let queued = std::mem::take(&mut self.writes);
