test(review): items that began at a service without upstreams never run again

LOST breaks: the only replica of a small service that shares the batch route is lost for good. Items that had begun there are not listed after finish_s, though five replicas of the other service are idle.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -8,4 +8,4 @@
     echo "not built: the build of deploy/system.toml, then review/build-2.sh" >&2
     exit 2
 fi
-exec "$stage" spoiled "$folder"
+exec "$stage" canary "$folder"
--- a/review/stage-2/src/client.rs
+++ b/review/stage-2/src/client.rs
@@ -1,7 +1,6 @@
 //! A client of batch jobs: its calls arrive on new channels, with the route's Host.
 
 use std::{
-    collections::BTreeMap,
     net::SocketAddr,
     thread::sleep,
     time::{Duration, Instant},
@@ -164,29 +163,6 @@
         }
         page.map_or(Page::Foreign, |(_, results)| Page::Results { results })
     }
-
-    /// Reads a job from the start, about twice a second, until all its results are listed or the time
-    /// is over. Returns the results by item.
-    pub fn wait(
-        &self,
-        fronts: &[SocketAddr],
-        job: &str,
-        total: usize,
-        within: Duration,
-    ) -> BTreeMap<String, Listed> {
-        let deadline = Instant::now() + within;
-        let mut known = BTreeMap::new();
-        for front in fronts.iter().cycle() {
-            if let Page::Results { results, .. } = self.read(*front, job, 0) {
-                known.extend(results.into_iter().map(|result| (result.id.clone(), result)));
-            }
-            if known.len() >= total || Instant::now() >= deadline {
-                break;
-            }
-            sleep(Duration::from_millis(500));
-        }
-        known
-    }
 }
 
 fn parse_page(body: &[u8]) -> Option<(usize, Vec<Listed>)> {
--- a/review/stage-2/src/http.rs
+++ b/review/stage-2/src/http.rs
@@ -3,7 +3,10 @@
 use std::{
     io::{BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::Arc,
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc,
+    },
     time::{Duration, Instant},
 };
 
@@ -136,17 +139,33 @@
 pub fn serve(
     listener: TcpListener,
     handle: impl Fn(&Message, &mut TcpStream) -> std::io::Result<bool> + Send + Sync + 'static,
+) {
+    serve_until(listener, Arc::default(), handle);
+}
+
+/// Serves connections until `has_crashed`: then nothing listens, and open connections end.
+pub fn serve_until(
+    listener: TcpListener,
+    has_crashed: Arc<AtomicBool>,
+    handle: impl Fn(&Message, &mut TcpStream) -> std::io::Result<bool> + Send + Sync + 'static,
 ) {
     let handle = Arc::new(handle);
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
+            if has_crashed.load(Ordering::Relaxed) {
+                return;
+            }
+            let has_crashed = Arc::clone(&has_crashed);
             let handle = Arc::clone(&handle);
             std::thread::spawn(move || {
                 let _ = stream.set_nodelay(true);
                 let Ok(mut writer) = stream.try_clone() else { return };
                 let mut reader = BufReader::new(stream);
                 while let Some(request) = read(&mut reader, false) {
-                    if !request.is_complete || !matches!(handle(&request, &mut writer), Ok(true)) {
+                    if has_crashed.load(Ordering::Relaxed)
+                        || !request.is_complete
+                        || !matches!(handle(&request, &mut writer), Ok(true))
+                    {
                         break;
                     }
                 }
--- a/review/stage-2/src/server.rs
+++ b/review/stage-2/src/server.rs
@@ -3,9 +3,9 @@
 
 use std::{
     io::Write,
-    net::{TcpListener, TcpStream},
+    net::{SocketAddr, TcpListener, TcpStream},
     sync::{
-        atomic::{AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
         Arc, Mutex,
     },
     thread::sleep,
@@ -34,6 +34,10 @@
 }
 
 pub struct Server {
+    id: String,
+    address: SocketAddr,
+    store: Store,
+    has_crashed: Arc<AtomicBool>,
     pub runs: Arc<Mutex<Vec<Run>>>,
 }
 
@@ -62,7 +66,9 @@
         let born = SystemTime::now().duration_since(UNIX_EPOCH).expect("a time").as_millis();
         let (running, own_runs, own_id, own_record) =
             (Arc::new(AtomicUsize::new(0)), Arc::clone(&runs), id.to_string(), record.clone());
-        http::serve(listener, move |request, stream| {
+        let has_crashed: Arc<AtomicBool> = Arc::default();
+        let is_gone = Arc::clone(&has_crashed);
+        http::serve_until(listener, Arc::clone(&has_crashed), move |request, stream| {
             match request.path() {
                 "/api/report" => {
                     let busy = running.load(Ordering::Relaxed);
@@ -117,28 +123,46 @@
             own_record.line(&format!("{own_id}: runs {attempt}, {target}, after event {from}"));
 
             running.fetch_add(1, Ordering::Relaxed);
-            let result = answer(request, stream, &own_id, &attempt, script(request));
+            let result = answer(request, stream, &own_id, &attempt, script(request), &is_gone);
             running.fetch_sub(1, Ordering::Relaxed);
             own_runs.lock().unwrap()[place].ended = Some((own_record.ms(), result.is_ok()));
             own_record.line(&match result.is_ok() {
                 true => format!("{own_id}: ends {attempt}"),
+                false if is_gone.load(Ordering::Relaxed) => {
+                    format!("{own_id}: gone, {attempt} ends")
+                }
                 false => format!("{own_id}: channel of {attempt} closed by its sender"),
             });
             result.map(|()| true)
         });
         let sequence = AtomicU64::new(0);
         let entry = format!("\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":{SLOTS},\"state\":\"ready\",\"cold_left_ms\":0,\"stage\":\"both\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"born\":{born}");
-        let (store, key) = (store.clone(), id.to_string());
-        std::thread::spawn(move || loop {
-            let sequence = sequence.fetch_add(1, Ordering::Relaxed);
-            store.put(
-                "keyed.servers",
-                &key,
-                format!("{{{entry},\"sequence\":{sequence}}}").as_bytes(),
-            );
-            sleep(HEARTBEAT);
+        let server =
+            Server { id: id.to_string(), address, store: store.clone(), has_crashed, runs };
+        let (store, key, has_crashed) =
+            (store.clone(), id.to_string(), Arc::clone(&server.has_crashed));
+        std::thread::spawn(move || {
+            while !has_crashed.load(Ordering::Relaxed) {
+                let sequence = sequence.fetch_add(1, Ordering::Relaxed);
+                let entry = format!("{{{entry},\"sequence\":{sequence}}}");
+                store.put("keyed.servers", &key, entry.as_bytes());
+                sleep(HEARTBEAT);
+            }
+        });
+        server
+    }
+
+    /// Ends the server for good: its channels end, nothing listens at its address, and its entry is
+    /// removed after three intervals of silence.
+    pub fn crash(&self) {
+        self.has_crashed.store(true, Ordering::Relaxed);
+        // Wakes the thread that accepts connections.
+        let _ = TcpStream::connect(self.address);
+        let (store, id) = (self.store.clone(), self.id.clone());
+        std::thread::spawn(move || {
+            sleep(HEARTBEAT * 3);
+            store.put("keyed.servers", &id, b"");
         });
-        Server { runs }
     }
 }
 
@@ -148,6 +172,7 @@
     server: &str,
     attempt: &str,
     reply: Reply,
+    has_crashed: &AtomicBool,
 ) -> std::io::Result<()> {
     let own = [
         ("X-Bulrushspread-Attempt-Id", attempt.to_string()),
@@ -169,6 +194,9 @@
         request.header("Last-Event-Id").and_then(|last| last.parse().ok()).unwrap_or(0);
     for (index, data) in data.iter().enumerate().skip(after) {
         sleep(pause);
+        if has_crashed.load(Ordering::Relaxed) {
+            return Err(std::io::ErrorKind::ConnectionReset.into());
+        }
         let event = [format!("id: {}\ndata: ", index + 1).as_bytes(), data, b"\n\n"].concat();
         stream
             .write_all(&[format!("{:x}\r\n", event.len()).as_bytes(), &event, b"\r\n"].concat())?;
