--- a/review/stage-2/src/scenarios.rs
+++ b/review/stage-2/src/scenarios.rs
@@ -320,8 +320,12 @@
     stage.accepted.insert(job.clone(), items.iter().map(|item| item.id.clone()).collect());
     if has_trouble {
         sleep(FREEZE.saturating_sub(started.elapsed()));
+        let members = stage.store.owners("jobs");
         stage.nodes[0].signal(node::SIGCONT);
         stage.note("front-0 goes on");
+        if started.elapsed() > FREEZE + Duration::from_millis(100) || !members.is_empty() {
+            return Err(Fail::CannotRun("front-1 has not left in time".to_string()));
+        }
     }
     sleep(STABLE + Duration::from_millis(200));
     stage.note("front-0 is in touch");
