--- a/review/stage-2/src/main.rs
+++ b/review/stage-2/src/main.rs
@@ -28,7 +28,11 @@
     ));
     let temporary = std::env::temp_dir().join(format!("review-stage-2-{}", std::process::id()));
     std::fs::create_dir_all(&temporary).expect("a temporary folder");
-    let verdict = scenarios::run(scenario, has_trouble, &record, &temporary);
+    let running =
+        std::panic::AssertUnwindSafe(|| scenarios::run(scenario, has_trouble, &record, &temporary));
+    // Unwinding ends the processes that were started.
+    let verdict = std::panic::catch_unwind(running)
+        .unwrap_or_else(|_| Err(scenarios::Fail::CannotRun("the stage panicked".to_string())));
     let (code, text) = match &verdict {
         Ok(()) => (0, "held".to_string()),
         Err(scenarios::Fail::Broken(text)) => (1, format!("BROKEN: {text}")),
