--- a/review/stage-2/src/scenarios.rs
+++ b/review/stage-2/src/scenarios.rs
@@ -255,7 +255,7 @@
 /// One answer of a model replica consists of wrong bytes. It is one of more than 50.
 fn spoiled(has_trouble: bool, record: &Record, folder: &Path) -> Verdict {
     const JOBS: usize = 30;
-    /// Pieces of the longest output, and the bytes of the longest piece, on the users' sheet.
+    /// Pieces of the longest output, and the bytes of the longest piece, in the users' site file.
     const LONGEST: (usize, usize) = (345, 360);
     let model: Script = Arc::new(move |request: &Message| {
         let id = request.header("X-Bulrushspread-Attempt-Id").unwrap_or_default().to_string();
