fix(batch): prove the ownership of a partition that another node may have held

Cause: an assignment that lists a partition was taken for proof that this node had owned it all the while. Between two renewals the log can give a partition to another node and back: after a lapse of the membership, or in a change of the group. If the two nodes never exchange a message, nothing ends the old owner, and the assignment confirms it together with its ledger from before.

Evidence: the log of the node shows no "partition claimed" after the standstill; the calls that were answered 404 name the owner at this node, of generation 1 in a group at generation 5. That rules out a new owner with an old state of the log, and a read of the log by a node that isn't the owner.

Change: a renewal confirms the tenure only if the membership has not lapsed and the group's generation is the same. Else the owner appends a proof first. The log refuses it if a later owner has claimed the partition; a new owner then fences and restores it. Until the proof nothing is confirmed, so absence isn't answered and no item starts. The lease of an owner that was replaced isn't passed on to the next one at this node either.

The record deletes a key that is never set, so older nodes never see it when they restore a partition.

--- a/serving/src/batch/group.rs
+++ b/serving/src/batch/group.rs
@@ -294,9 +294,12 @@
         lost.iter().filter_map(|number| table.owned.remove(number)).collect()
     }
 
-    /// Starts owners of the assigned partitions that have none running. The assignment was valid
-    /// at `requested_at`. No other node is assigned these partitions until `lease_until`. Both are
-    /// times of `CLOCK_BOOTTIME`.
+    /// Starts owners of the assigned partitions that have none running, and renews the tenures of the
+    /// others. The assignment was valid at `requested_at`. No other node is assigned these partitions
+    /// until `lease_until`. Both are times of `CLOCK_BOOTTIME`.
+    ///
+    /// A partition that is still assigned to this node may have been with another one meanwhile if the
+    /// membership had lapsed or the group has changed: such an owner has to prove its ownership.
     fn start_assigned(
         &self,
         assignment: &log_store::Assignment,
@@ -310,17 +313,27 @@
         if table.has_left {
             return;
         }
-        table.generation = assignment.generation;
+        let has_changed = std::mem::replace(&mut table.generation, assignment.generation)
+            != assignment.generation;
+        let mut doubted = Vec::new();
         for number in &assignment.partitions {
             if let Some(owned) = table.owned.get_mut(number) {
+                let has_lapsed = owned.lease.held_since(boot_time).is_none();
                 owned.lease.renew(boot_time, lease_until);
                 if !owned.task.is_finished() && !owned.tenure.is_replaced() {
-                    owned.tenure.confirm(requested_at);
+                    if has_changed || has_lapsed {
+                        doubted.push(*number);
+                        owned.tenure.doubt(boot_time);
+                        owned.handle.prove();
+                    }
+                    owned.tenure.renew(requested_at);
                     continue;
                 }
                 owned.task.abort();
             }
-            let previous = table.owned.get(number).map(|owned| owned.lease);
+            // Another node has held the partition if its owner here was replaced.
+            let previous = table.owned.get(number).filter(|owned| !owned.tenure.is_replaced());
+            let previous = previous.map(|owned| owned.lease);
             let lease = previous.unwrap_or(Lease::new(boot_time, lease_until));
             table.owner_starts = (table.owner_starts + 1) % STARTS_PER_GENERATION;
             let epoch = assignment.generation * STARTS_PER_GENERATION + table.owner_starts;
@@ -331,6 +344,9 @@
             let (handle, task) = owner::start(self.dependencies.clone(), partition, tenure.clone());
             table.owned.insert(*number, LocalOwner { handle, task, tenure, lease });
         }
+        if !doubted.is_empty() {
+            log::info!(partitions:? = doubted, generation = assignment.generation; "proving the ownership of partitions that another node may have held");
+        }
     }
 
     /// Looks up the owners of all partitions in the group, to find nodes not yet in contact.
--- a/serving/src/batch/owner/calls.rs
+++ b/serving/src/batch/owner/calls.rs
@@ -55,6 +55,8 @@
             Command::Reserve { reservation, reply } => {
                 let _ = reply.send(self.reserve(&reservation));
             }
+            // The owner's loop looks for a missing proof after every event.
+            Command::Prove => {}
             Command::Release { reply } => {
                 self.releasing = Some(Release { reply, progress_queued: false });
                 for running in self.running.values_mut() {
--- a/serving/src/batch/owner/handle.rs
+++ b/serving/src/batch/owner/handle.rs
@@ -72,6 +72,8 @@
         reservation: Reservation,
         reply: oneshot::Sender<Result<Decision, Unavailable>>,
     },
+    /// Append a proof of ownership if the tenure still needs one.
+    Prove,
     /// Pause all runs, save their progress and stop; answered when the progress is durable.
     Release {
         reply: oneshot::Sender<()>,
@@ -142,6 +144,12 @@
         self.call(|reply| Command::Reserve { reservation, reply }).await?
     }
 
+    /// Makes the owner prove its ownership without waiting for its next event.
+    pub(in crate::batch) fn prove(&self) {
+        // With a full queue the owner has events enough.
+        let _ = self.0.try_send(Command::Prove);
+    }
+
     /// Makes the owner save the progress of its items and stop.
     pub(in crate::batch) async fn release(&self) -> Result<(), Unavailable> {
         self.call(|reply| Command::Release { reply }).await
--- a/serving/src/batch/owner/mod.rs
+++ b/serving/src/batch/owner/mod.rs
@@ -141,6 +141,7 @@
                 Ok(()) | Err(Error::OutOfSequence(_)) => break,
                 Err(Error::Fenced) => {
                     log::warn!(partition = partition.number, epoch = epoch; "claim refused: the partition has a later owner");
+                    tenure.end();
                     return None;
                 }
                 Err(error) => {
--- a/serving/src/batch/owner/writes.rs
+++ b/serving/src/batch/owner/writes.rs
@@ -15,7 +15,7 @@
 };
 
 use super::{
-    super::ledger::ItemId,
+    super::{ledger::ItemId, record},
     Owner, RETRY_DELAY,
     handle::{Admission, Unavailable},
 };
@@ -76,11 +76,18 @@
         self.writes.push_back(Write { records, effect, failure });
     }
 
-    /// Starts an append of queued writes, up to `append_bytes`, unless one is in progress.
+    /// Starts an append of queued writes, up to `append_bytes`, unless one is in progress. Without
+    /// writes it appends a proof of ownership if the tenure needs one.
     pub(super) fn append_next(&mut self) {
-        if self.pending_append.is_some() || self.writes.is_empty() {
+        if self.pending_append.is_some() {
             return;
         }
+        if self.writes.is_empty() {
+            if !self.tenure.needs_proof() {
+                return;
+            }
+            self.queue_write(vec![record::ownership_proof()], Effect::Saved);
+        }
         let mut writes = Vec::new();
         let mut bytes = 0;
         while let Some(write) = self.writes.front() {
@@ -123,6 +130,7 @@
             }
             Err(Error::Fenced) => {
                 log::warn!(partition = self.partition.number, epoch = self.producer.epoch; "append refused: the partition has a later owner");
+                self.tenure.end();
                 let reason =
                     if uncertain { Unavailable::Unknown } else { Unavailable::NotAccepted };
                 self.keep_failures(&writes);
--- a/serving/src/batch/record.rs
+++ b/serving/src/batch/record.rs
@@ -171,6 +171,13 @@
     log_store::Record { key: key.encode(), value: None }
 }
 
+/// A record that changes nothing: it deletes a key that is never set. The log accepts it only from an
+/// owner that no later one has fenced. An empty append wouldn't do, because the service leaves open
+/// whether it uses up a sequence number.
+pub fn ownership_proof() -> log_store::Record {
+    log_store::Record { key: "o".to_string(), value: None }
+}
+
 /// Encodes the head of a job in chunks of at most `bytes`, one record each. A chunk is preceded
 /// by the number of chunks after it (4 bytes, big endian), so that a head some of whose records
 /// are deleted is recognised as incomplete.
--- a/serving/src/tenure.rs
+++ b/serving/src/tenure.rs
@@ -4,6 +4,10 @@
 //! once. The owner may learn that late: it is cut off from the log, was suspended, or its requests
 //! were delayed on their way. So its right ends by itself some time after the log last confirmed it,
 //! and nodes that forward its requests refuse those of an owner that they know to be replaced.
+//!
+//! An assignment that names the owner again doesn't show that it was the owner all the while: another
+//! node may have held the partition, accepted jobs and released it. After a gap only an append that
+//! the log accepts from the owner's epoch shows that no other node has claimed the partition.
 
 use std::{
     collections::BTreeMap,
@@ -40,6 +44,10 @@
     /// When the latest call was sent by which the log confirmed the ownership, in milliseconds of
     /// `CLOCK_BOOTTIME`.
     confirmed_at: AtomicU64,
+    /// Until when another node may have held the partition, in milliseconds of `CLOCK_BOOTTIME`.
+    doubted_at: AtomicU64,
+    /// When the latest append was sent that the log accepted, in milliseconds of `CLOCK_BOOTTIME`.
+    proved_at: AtomicU64,
     /// A later owner is known.
     is_replaced: AtomicBool,
 }
@@ -51,11 +59,34 @@
         Tenure { ownership, clock, length, state: Arc::new(state) }
     }
 
-    /// Records that the log has confirmed the ownership in its answer to a call sent at `at`.
+    /// Records that the log has accepted an append of this owner that was sent at `at`: no later owner
+    /// had claimed the partition.
     pub fn confirm(&self, at: Millis) {
+        self.state.proved_at.fetch_max(at.0, Ordering::Relaxed);
         self.state.confirmed_at.fetch_max(at.0, Ordering::Relaxed);
     }
 
+    /// Records that the log assigns the partition to this node in its answer to a call sent at `at`,
+    /// without a gap since the answer before. Confirms nothing while an earlier gap is in doubt.
+    pub fn renew(&self, at: Millis) {
+        if !self.needs_proof() {
+            self.state.confirmed_at.fetch_max(at.0, Ordering::Relaxed);
+        }
+    }
+
+    /// Records that another node may have held the partition until `until`, a time of
+    /// `CLOCK_BOOTTIME`. Only an append that is sent later confirms the ownership again.
+    pub fn doubt(&self, until: Millis) {
+        self.state.doubted_at.fetch_max(until.0, Ordering::Relaxed);
+    }
+
+    /// Whether the owner has to append to the partition before the log's assignments confirm its
+    /// ownership again.
+    pub fn needs_proof(&self) -> bool {
+        let doubted_at = self.state.doubted_at.load(Ordering::Relaxed);
+        doubted_at > self.state.proved_at.load(Ordering::Relaxed)
+    }
+
     /// Records that the partition has a later owner, which ends the tenure for good. Returns whether
     /// that is new.
     pub fn end(&self) -> bool {
--- a/serving/tests/jobs.rs
+++ b/serving/tests/jobs.rs
@@ -16,7 +16,7 @@
     balance,
     batch::{
         Admission, Group, Handle, Location, Settings, TOPIC, Unavailable, partition_for,
-        record::{Head, Item},
+        record::{self, Head, Item},
     },
     catalog::{self, Catalog, Kind, Limits, Route, Share},
     exchange::Context,
@@ -293,6 +293,58 @@
     assert_eq!(earlier.cancel(job("a")).await, Err(Unavailable::NotAccepted));
 }
 
+/// Guards against a node that was cut off and goes on with its old state of a partition, which another
+/// node has held and released meanwhile, without a message between the two.
+#[tokio::test]
+async fn owner_whose_partition_was_held_by_another_node_meanwhile_reads_it_again() {
+    let log = Log::new(PARTITIONS);
+    let node = Node::start(&log, 1, 0);
+    node.owner().await;
+    node.log.set_fault(Fault::Down);
+    let second = Node::start(&log, 2, 0);
+    let accepted = second.owner().await.submit(job("a"), head(3)).await;
+    assert_eq!(accepted, Ok(Admission::Durable));
+    second.group.leave().await;
+    node.log.set_fault(Fault::None);
+    eventually("the node owns all partitions", || node.group.reports().len() == 4).await;
+    for _ in 0..20 {
+        let page = node.owner().await.read(job("a"), 0, Millis(0)).await;
+        assert!(!matches!(page, Ok(None)), "the node denies an accepted job");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let page = node.owner().await.read(job("a"), 0, Millis(0)).await;
+    assert_eq!(page.map(|page| page.map(|page| page.total)), Ok(Some(3)));
+}
+
+/// Guards against an owner that misses that its partition was with another node, because the group
+/// was dealt anew twice between two of its renewals.
+#[tokio::test]
+async fn owner_proves_its_ownership_when_the_group_has_changed() {
+    let log = Log::new(PARTITIONS);
+    let node = Node::start(&log, 1, 0);
+    let owner = node.owner().await;
+    assert_eq!(owner.read(job("a"), 0, Millis(0)).await, Ok(None));
+    let number = partition_for("a", PARTITIONS);
+    let partition = Partition { topic: TOPIC.to_string(), number };
+    // An owner of the generation between the two deals.
+    let later = Producer { name: "owner".to_string(), epoch: 2 << 10, sequence: 1 };
+    let id = job("a");
+    let records = record::encode_head(&id, &head(3), 1 << 10).unwrap();
+    log.append(&partition, &later, &records).await.unwrap();
+    log.deal_anew("jobs");
+    log.deal_anew("jobs");
+    let mut is_found = false;
+    for _ in 0..100 {
+        let page = node.owner().await.read(id.clone(), 0, Millis(0)).await;
+        is_found = matches!(&page, Ok(Some(page)) if page.total == 3);
+        if is_found {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert!(is_found, "the node never reads the partition again");
+}
+
 #[tokio::test]
 async fn refused_append_accepts_nothing() {
     let log = Log::new(PARTITIONS);
--- a/serving/tests/tenure.rs
+++ b/serving/tests/tenure.rs
@@ -63,3 +63,21 @@
         assert!(text.parse::<Claim>().is_err(), "{text}");
     }
 }
+
+/// Guards against an owner that takes an assignment for proof that no other node held its partition
+/// while it was suspended or cut off.
+#[test]
+fn assignment_after_a_gap_confirms_nothing_until_an_append_was_accepted() {
+    let tenure = tenure(LENGTH);
+    let now = Clock::default().boot_time();
+    tenure.doubt(now);
+    tenure.renew(now);
+    assert_eq!(tenure.remaining(), None);
+    tenure.confirm(now - Millis(1));
+    assert!(tenure.needs_proof(), "an append from before the gap proves nothing");
+    tenure.confirm(now);
+    assert!(!tenure.needs_proof());
+    assert!(tenure.remaining().is_some());
+    tenure.renew(now + Millis(1_000));
+    assert_eq!(tenure.remaining(), Some(LENGTH));
+}
