fix(batch): let a new coordinator wait until reports include earlier grants

Found by reading what else an owner trusts after a gap. The coordinator of a quota adds up reports and its own grants of the last 800 ms. A new coordinator knew no grant of the one before, and one that had stood still dropped its grants by the clock, then decided by reports from before the standstill: both could grant more than the quota.

Change: no grant in the first 800 ms after the partition was claimed; a grant counts until a report of the job's partition has arrived that is late enough to include the job.

Cost: jobs for a route with a quota are answered 503 with a Retry-After for 800 ms after its coordinator has changed. No calls, no bytes.

--- a/serving/src/batch/directory.rs
+++ b/serving/src/batch/directory.rs
@@ -118,7 +118,12 @@
     /// Applies the reports of the partitions that the node at `address` owns. Partitions that it
     /// no longer reports lose that owner; a report from an earlier epoch is ignored. One from a later
     /// epoch than that of this node's own owner ends the tenure of that owner.
-    pub(super) fn apply_peer_reports(&self, address: SocketAddr, reports: Vec<(u16, Report)>) {
+    pub(super) fn apply_peer_reports(
+        &self,
+        now: Millis,
+        address: SocketAddr,
+        reports: Vec<(u16, Report)>,
+    ) {
         let mut table = self.lock();
         let is_reported = |number: &u16| reports.iter().any(|(reported, _)| reported == number);
         table.remote_owners.retain(|number, (_, stored)| *stored != address || is_reported(number));
@@ -136,7 +141,7 @@
         drop(table);
         let mut quota = self.quota();
         for (number, report) in reports {
-            quota.apply_report(number, report);
+            quota.apply_report(now, number, report);
         }
     }
 
@@ -146,6 +151,13 @@
         self.lock().remote_owners.entry(number).or_insert((0, address));
     }
 
+    /// Records that the reports of the partitions that this node owns are up to date at `now`.
+    pub(super) fn confirm_own_reports(&self, now: Millis) {
+        let owned: Vec<u16> = self.lock().owned.keys().copied().collect();
+        let mut quota = self.quota();
+        owned.into_iter().for_each(|number| quota.confirm_report(now, number));
+    }
+
     pub(super) fn quota(&self) -> MutexGuard<'_, quota::State> {
         self.quota.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/serving/src/batch/group.rs
+++ b/serving/src/batch/group.rs
@@ -131,7 +131,8 @@
             let ownership = Ownership { partition: *partition, epoch: report.epoch };
             self.dependencies.context.epochs.record(ownership);
         }
-        self.directory.apply_peer_reports(address, reports);
+        let now = self.dependencies.context.clock.now();
+        self.directory.apply_peer_reports(now, address, reports);
     }
 
     /// Answers another node's reservation request for a quota that this node coordinates. `None`
--- a/serving/src/batch/owner/calls.rs
+++ b/serving/src/batch/owner/calls.rs
@@ -183,8 +183,10 @@
             return Ok(Decision::Granted);
         }
         let now = self.dependencies.context.clock.now();
-        let mut quota = self.dependencies.coordinator.directory.quota();
-        Ok(quota.reserve(now, &reservation.job, &reservation.route, reservation.tokens, limit))
+        let directory = &self.dependencies.coordinator.directory;
+        directory.confirm_own_reports(now);
+        let Reservation { job, route, tokens } = reservation;
+        Ok(directory.quota().reserve(now, self.claimed_at, job, route, *tokens, limit))
     }
 
     /// Refuses to answer `None` without a recent confirmation of ownership, because a later owner
--- a/serving/src/batch/owner/mod.rs
+++ b/serving/src/batch/owner/mod.rs
@@ -90,6 +90,8 @@
     dependencies: Dependencies,
     partition: Partition,
     tenure: Tenure,
+    /// When the partition was claimed.
+    claimed_at: Millis,
     /// Whether the tenure had lapsed when items were last to start.
     is_lapsed: bool,
     producer: Producer,
@@ -159,6 +161,7 @@
                 }
             }
         };
+        let claimed_at = dependencies.context.clock.now();
         let catalog = dependencies.catalog.current();
         let due_after = |head: &Head| {
             let route = catalog.as_ref().and_then(|catalog| catalog.find(&head.host, &head.path));
@@ -178,6 +181,7 @@
             dependencies,
             partition,
             tenure,
+            claimed_at,
             is_lapsed: false,
             producer: Producer { sequence: 1, ..producer },
             ledger,
@@ -307,7 +311,9 @@
             })
             .collect();
         let report = Report { epoch: self.producer.epoch, waiting, ready, ready_by_service };
-        self.dependencies.coordinator.directory.quota().apply_report(self.partition.number, report);
+        let now = self.dependencies.context.clock.now();
+        let directory = &self.dependencies.coordinator.directory;
+        directory.quota().apply_report(now, self.partition.number, report);
     }
 
     /// Finds the route of a job in the current configuration.
--- a/serving/src/batch/quota.rs
+++ b/serving/src/batch/quota.rs
@@ -3,7 +3,8 @@
 //! Each owner reports the tokens of its partition, and nodes exchange the reports. The quota of a
 //! route is coordinated by one owner, that of the partition for the route's id. It grants
 //! reservations to new jobs. A grant counts against the quota for as long as reports may lack
-//! the granted job.
+//! the granted job. A new coordinator grants nothing while reports may lack what an earlier one has
+//! granted.
 
 use std::collections::BTreeMap;
 
@@ -14,10 +15,13 @@
     time::Millis,
 };
 
-use super::order::{self, Urgency};
+use super::{
+    directory::partition_of,
+    order::{self, Urgency},
+};
 
-/// How long a grant counts in addition to the reports: two heartbeat intervals between nodes, plus
-/// one for a lost heartbeat.
+/// Time after a grant from which on reports include the granted job: two heartbeat intervals between
+/// nodes, plus one for a lost heartbeat.
 const GRANT_HOLD: Millis = Millis(800);
 
 /// Waiting tokens and items of one partition, as its owner reports them to all nodes.
@@ -42,7 +46,8 @@
     Granted,
     /// The reservation would exceed the quota.
     OverQuota,
-    /// Not decidable: some partition has not reported yet.
+    /// Not decidable: some partition has not reported yet, or an earlier coordinator may have granted
+    /// what no report includes yet.
     Unknown,
 }
 
@@ -52,6 +57,7 @@
     job: Job,
     route: Route,
     tokens: u64,
+    /// A report of the job's partition that arrives from then on includes the job.
     until: Millis,
 }
 
@@ -60,19 +66,35 @@
 pub struct State {
     partitions: u16,
     reports: BTreeMap<u16, Report>,
+    /// When the report of each partition arrived.
+    reported_at: BTreeMap<u16, Millis>,
     grants: Vec<Grant>,
 }
 
 impl State {
     pub fn new(partitions: u16) -> State {
-        State { partitions, reports: BTreeMap::new(), grants: Vec::new() }
+        State {
+            partitions,
+            reports: BTreeMap::new(),
+            reported_at: BTreeMap::new(),
+            grants: Vec::new(),
+        }
     }
 
     /// Stores the report of a partition unless it is from an earlier owner than the stored one.
-    pub fn apply_report(&mut self, partition: u16, report: Report) {
+    pub fn apply_report(&mut self, now: Millis, partition: u16, report: Report) {
         let stored = self.reports.get(&partition).map_or(0, |stored| stored.epoch);
         if report.epoch >= stored {
             self.reports.insert(partition, report);
+            self.reported_at.insert(partition, now);
+        }
+    }
+
+    /// Records that the stored report of a partition is up to date at `now`. Its owner at this node
+    /// reports every change at once, and nothing while there is none.
+    pub fn confirm_report(&mut self, now: Millis, partition: u16) {
+        if let Some(reported_at) = self.reported_at.get_mut(&partition) {
+            *reported_at = now;
         }
     }
 
@@ -98,19 +120,27 @@
     }
 
     /// Decides on the reservation of a job's tokens: reported and granted tokens of the route must
-    /// not exceed `limit`. A repeated request for the same job replaces its earlier grant.
+    /// not exceed `limit`. A repeated request for the same job replaces its earlier grant. `since` is
+    /// when the owner that decides claimed the partition for the quota.
     pub fn reserve(
         &mut self,
         now: Millis,
+        since: Millis,
         job: &Job,
         route: &Route,
         tokens: u64,
         limit: u64,
     ) -> Decision {
-        if self.reports.len() < usize::from(self.partitions) {
+        if self.reports.len() < usize::from(self.partitions) || now < since + GRANT_HOLD {
             return Decision::Unknown;
         }
-        self.grants.retain(|grant| grant.until > now && grant.job != *job);
+        // The time alone doesn't count: this node may have stood still, or missed reports.
+        let (reported_at, partitions) = (&self.reported_at, self.partitions);
+        let is_included = |grant: &Grant| {
+            let reported_at = reported_at.get(&partition_of(&grant.job, partitions));
+            reported_at.is_some_and(|at| *at >= grant.until)
+        };
+        self.grants.retain(|grant| !is_included(grant) && grant.job != *job);
         let reported =
             self.reports.values().filter_map(|report| report.waiting.get(route).copied());
         let granted = self.grants.iter().filter(|grant| grant.route == *route);
--- a/serving/tests/order.rs
+++ b/serving/tests/order.rs
@@ -70,7 +70,7 @@
     let urgency = |due| Urgency { late: false, due };
     let ready = vec![Bucket { urgency: urgency(50), count: 9 }];
     let mut state = State::new(2);
-    state.apply_report(1, Report { epoch: 1, ready, ..Report::default() });
+    state.apply_report(Millis(0), 1, Report { epoch: 1, ready, ..Report::default() });
     assert_eq!(state.count_ahead(0, &"model".into(), urgency(200)), 9);
 }
 
@@ -83,9 +83,9 @@
         ..Report::default()
     };
     let mut state = State::new(3);
-    state.apply_report(0, report(300, 4));
-    state.apply_report(1, report(100, 2));
-    state.apply_report(2, report(200, 5));
+    state.apply_report(Millis(0), 0, report(300, 4));
+    state.apply_report(Millis(0), 1, report(100, 2));
+    state.apply_report(Millis(0), 2, report(200, 5));
     let ahead = |number, due| state.count_ahead(number, &"model".into(), urgency(due));
     assert_eq!(ahead(1, 100), 0);
     assert_eq!(ahead(2, 200), 2);
--- a/standins/src/emulator/fleet.rs
+++ b/standins/src/emulator/fleet.rs
@@ -214,7 +214,7 @@
                 let node = &mut self.nodes[to];
                 node.balance.update_loads(Millis(now), &Vm(format!("node-{from:03}")), loads);
                 for (partition, report) in reports {
-                    node.quota.apply_report(partition, report);
+                    node.quota.apply_report(Millis(now), partition, report);
                 }
             }
             Event::Collect(to, from, datagram, paces) => {
@@ -421,7 +421,7 @@
         }
         waiting.drain(..started);
         let report = self.owners[owner].report(&self.service, &waiting);
-        self.nodes[node].quota.apply_report(partition, report.clone());
+        self.nodes[node].quota.apply_report(Millis(now), partition, report.clone());
         self.nodes[node].reports.insert(partition, report);
     }
 
