fix(batch): move work on from a service that has no upstream

Callers saw: a batch route is split between two services and the only upstream of the small one is lost for good. One in five new requests to such a route was refused or failed.

Cause: the service was selected without a look at its upstreams, an item that had begun stayed with its service as long as the route had it, and requests sought a successor in their own service only.

Evidence: no run and no "item starts over" of the lost items after the loss, while items of the same owners that had not begun start at once. So other owners' items and refused progress are ruled out.

Change: services with a healthy upstream are selected by weight, others only if none has one. An item leaves the service that began it if another one could run it, and its own has had no healthy upstream for 0.5 s or no free slot for 2 s. A request that its service has no upstream for moves to another service of the route unless its caller has events; the announced origin of a stream is withdrawn first, as for another version.

--- a/serving/src/balance/choice.rs
+++ b/serving/src/balance/choice.rs
@@ -284,7 +284,8 @@
         departure: Option<Departure>,
     ) -> Pick {
         let load = self.replicas[&upstream].load().total();
-        let Entry { address, version, started, .. } = self.replicas[&upstream].entry.clone();
+        let Entry { address, service, version, started, .. } =
+            self.replicas[&upstream].entry.clone();
         if let Some(replica) = self.replicas.get_mut(&upstream) {
             replica.take_connection();
             match class {
@@ -296,7 +297,17 @@
         self.limits.record_send(now, process);
         let own_load = self.replicas[&upstream].own_load;
         self.update_own_load(&upstream, own_load);
-        Pick { upstream, address, version, started, class, load, chosen_at: now, departure }
+        Pick {
+            upstream,
+            address,
+            service,
+            version,
+            started,
+            class,
+            load,
+            chosen_at: now,
+            departure,
+        }
     }
 }
 
--- a/serving/src/balance/request.rs
+++ b/serving/src/balance/request.rs
@@ -3,6 +3,7 @@
 use std::{collections::BTreeSet, fmt, net::SocketAddr};
 
 use crate::{
+    fleet::Software,
     id::{Service, Upstream, Version},
     time::Millis,
 };
@@ -45,6 +46,7 @@
 pub struct Pick {
     pub upstream: Upstream,
     pub address: SocketAddr,
+    pub service: Service,
     pub version: Version,
     /// Start of the upstream's process, as in its entry.
     pub started: u64,
@@ -57,6 +59,13 @@
     pub departure: Option<Departure>,
 }
 
+impl Pick {
+    /// What the upstream runs.
+    pub fn software(&self) -> Software {
+        Software { service: self.service.clone(), version: self.version.clone() }
+    }
+}
+
 /// Reason why no upstream was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
--- a/serving/src/balance/state.rs
+++ b/serving/src/balance/state.rs
@@ -11,6 +11,7 @@
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
 use crate::{
+    catalog::Route,
     fleet::Entry,
     id::{DataCentre, Incarnation, Process, Service, Upstream, Vm},
     time::Millis,
@@ -397,6 +398,25 @@
         };
     }
 
+    /// Whether `service` has an upstream that takes requests. Ejected ones count as well if
+    /// `with_ejected`.
+    pub fn has_upstream(&self, now: Millis, service: &Service, with_ejected: bool) -> bool {
+        let members = self.services.get(service).into_iter().flat_map(|members| &members.upstreams);
+        members.map(|upstream| &self.replicas[upstream]).any(|replica| {
+            let takes_requests = !replica.entry.draining && !replica.is_leaving;
+            takes_requests && (with_ejected || !replica.is_ejected(now, &self.settings))
+        })
+    }
+
+    /// Selects a service of a route by weight, for a uniformly distributed random number `sample` in
+    /// `0..1`. Services without a healthy upstream are selected only if all have none.
+    pub fn select_service(&self, now: Millis, route: &Route, sample: f64) -> Service {
+        let selected = [false, true].into_iter().find_map(|with_ejected| {
+            route.select_among(sample, |service| self.has_upstream(now, service, with_ejected))
+        });
+        selected.unwrap_or_else(|| route.select_service(sample)).clone()
+    }
+
     /// Requests in flight and slots, summed over the upstreams of `service` that are neither
     /// draining nor ejected. An upstream that limits the rate of its requests counts with the slots
     /// that requests at this rate fill.
--- a/serving/src/batch/owner/items.rs
+++ b/serving/src/batch/owner/items.rs
@@ -33,6 +33,9 @@
 /// then, and may run where an online request would be refused.
 const BLOCKED_ITEM_PAUSE: Millis = Millis(5_000);
 
+/// The capacity of services in one round of scheduling.
+type Capacities = BTreeMap<Service, schedule::Capacity>;
+
 /// Whether an item was started.
 enum Start {
     Started,
@@ -76,10 +79,11 @@
     /// have free slots, and reports the items that still wait.
     pub(super) fn schedule(&mut self) {
         let mut services: BTreeMap<Service, Vec<WaitingItem>> = BTreeMap::new();
+        let mut capacities = Capacities::default();
         for entry in self.sorted_waiting() {
             let job = self.ledger.job(&entry.item.job);
             let Some(route) = job.and_then(|job| self.find_route(&job.head)) else { continue };
-            let service = self.select_service(&entry.item, &route);
+            let service = self.select_service(&entry.item, &route, &mut capacities);
             services.entry(service).or_default().push(entry);
         }
         if self.may_start_items() {
@@ -145,15 +149,39 @@
         not_started
     }
 
-    /// The service that began an item, if its route still has that one, else one by weight.
-    fn select_service(&self, item: &ItemId, route: &Route) -> Service {
-        let progress = self.ledger.waiting_progress(Millis(0), item);
-        let begun = progress.and_then(|(progress, _)| progress.software.as_ref());
-        let shares = route.split.iter().filter(|share| share.weight > 0);
-        let mut services = shares.map(|share| &share.service);
-        match begun.and_then(|software| services.find(|service| **service == software.service)) {
-            Some(service) => service.clone(),
-            None => route.select_service(rand::random()).clone(),
+    /// Selects the service for an item: the one that began it as long as that may go on with it, else
+    /// one of its route by weight.
+    fn select_service(&self, item: &ItemId, route: &Route, capacities: &mut Capacities) -> Service {
+        let context = &self.dependencies.context;
+        let now = context.clock.now();
+        let waiting = self.ledger.waiting_progress(now, item);
+        let begun = waiting
+            .filter(|(progress, _)| !progress.is_empty())
+            .and_then(|(progress, waited)| Some((&progress.software.as_ref()?.service, waited)));
+        if let Some((service, waited)) = begun
+            && route.services().any(|of_route| of_route == service)
+        {
+            let mut capacity = |service: &Service| {
+                *capacities.entry(service.clone()).or_insert_with(|| self.capacity(service))
+            };
+            let own = capacity(service);
+            let others = route.services().filter(|other| *other != service);
+            let best = others.map(capacity).max().unwrap_or(schedule::Capacity::None);
+            if schedule::stays_with_service(own, best, waited) {
+                return service.clone();
+            }
+        }
+        context.select_service(route)
+    }
+
+    /// What a service can take of batch items now.
+    fn capacity(&self, service: &Service) -> schedule::Capacity {
+        let now = self.dependencies.context.clock.now();
+        let mut balance = self.dependencies.context.balance();
+        match (balance.free_batch_slots(now, service), balance.has_upstream(now, service, false)) {
+            (1.., _) => schedule::Capacity::Free,
+            (0, true) => schedule::Capacity::Full,
+            (0, false) => schedule::Capacity::None,
         }
     }
 
--- a/serving/src/batch/schedule.rs
+++ b/serving/src/batch/schedule.rs
@@ -13,6 +13,32 @@
 /// has free slots.
 const RESUME_PATIENCE: Millis = Millis(2_000);
 
+/// Maximum time that an item waits for a healthy upstream of the service that began it while another
+/// service of its route has one.
+const ABSENCE_PATIENCE: Millis = Millis(500);
+
+/// What a service can take of batch items.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Capacity {
+    /// It has no healthy upstream.
+    None,
+    /// Its upstreams have no free slot.
+    Full,
+    Free,
+}
+
+/// Whether an item that has waited for `waited` stays with the service that began it, which has the
+/// capacity `own`, instead of starting over at another service of its route. `best` is the greatest
+/// capacity of the others.
+pub fn stays_with_service(own: Capacity, best: Capacity, waited: Millis) -> bool {
+    match (own, best) {
+        (_, Capacity::None) | (Capacity::Free, _) => true,
+        (Capacity::None, Capacity::Full | Capacity::Free) => waited < ABSENCE_PATIENCE,
+        (Capacity::Full, Capacity::Full) => true,
+        (Capacity::Full, Capacity::Free) => waited < RESUME_PATIENCE,
+    }
+}
+
 /// Whether an item that has waited for `waited` goes on waiting for the software that began it,
 /// whose upstreams refused it, instead of starting over.
 pub fn waits_for_software(refusal: Refusal, waited: Millis) -> bool {
--- a/serving/src/catalog.rs
+++ b/serving/src/catalog.rs
@@ -71,17 +71,33 @@
 }
 
 impl Route {
+    /// The services that requests may go to.
+    pub fn services(&self) -> impl Iterator<Item = &Service> {
+        self.split.iter().filter(|share| share.weight > 0).map(|share| &share.service)
+    }
+
     /// Selects a service by weight for a uniformly distributed random number `sample` in `0..1`.
     pub fn select_service(&self, sample: f64) -> &Service {
-        let total: u32 = self.split.iter().map(|share| share.weight).sum();
-        let mut remaining = sample * f64::from(total);
-        for share in &self.split {
+        let selected = self.select_among(sample, |_| true);
+        selected.unwrap_or(&self.split[self.split.len() - 1].service)
+    }
+
+    /// Selects one of the services that `is_usable` accepts by weight for a uniformly distributed
+    /// random number `sample` in `0..1`. `None` if it accepts none.
+    pub fn select_among(
+        &self,
+        sample: f64,
+        is_usable: impl Fn(&Service) -> bool,
+    ) -> Option<&Service> {
+        let is_usable = |share: &&Share| share.weight > 0 && is_usable(&share.service);
+        let usable: Vec<&Share> = self.split.iter().filter(is_usable).collect();
+        let total: f64 = usable.iter().map(|share| f64::from(share.weight)).sum();
+        let mut remaining = sample * total;
+        let selected = usable.iter().find(|share| {
             remaining -= f64::from(share.weight);
-            if remaining < 0.0 {
-                return &share.service;
-            }
-        }
-        &self.split[self.split.len() - 1].service
+            remaining < 0.0
+        });
+        selected.or(usable.last()).map(|share| &share.service)
     }
 }
 
--- a/serving/src/exchange/driver.rs
+++ b/serving/src/exchange/driver.rs
@@ -12,7 +12,7 @@
     access,
     balance::{Class, Outcome, Refusal},
     catalog::Kind,
-    id::Version,
+    id::{Service, Version},
     quarantine::{Fingerprint, Status},
     time::Millis,
     uplink::{Sign, check_path},
@@ -111,9 +111,11 @@
     pub(super) trace: Trace,
     fingerprint: Fingerprint,
     status: Status,
+    /// The service of the route that takes the request.
+    service: Service,
     /// Version of the upstream that brought the first event of a stream, here or for the request
-    /// that the caller resumes. Only this version may go on with the stream. `None` before the first
-    /// event.
+    /// that the caller resumes. Only this version of the service may go on with the stream. `None`
+    /// before the first event.
     version: Option<Version>,
     origin: origin::Record,
     /// Whether other nodes failed to confirm that the request may move to another version. It isn't
@@ -144,6 +146,7 @@
         Driver {
             context: Arc::clone(context),
             state: new_state(&routed),
+            service: routed.service.clone(),
             routed: Arc::new(routed),
             trace,
             fingerprint,
@@ -457,27 +460,42 @@
         }
     }
 
-    /// Chooses an upstream for the next send, unless a part of the prompt is blocked by now.
-    fn choose(&self) -> Result<Permit, Refusal> {
+    /// Chooses an upstream for the next send, unless a part of the prompt is blocked by now. If the
+    /// service has none for a request that isn't bound to it, another one of the route takes it.
+    fn choose(&mut self) -> Result<Permit, Refusal> {
         let (now, prompt) = (self.context.clock.now(), &self.routed.prompt);
         if let Some(retry_after) = self.context.parts().remaining_block(now, prompt) {
             return Err(Refusal::Blocked { retry_after });
         }
         let objective = self.state.objective_at(now);
-        let service = &self.routed.service;
-        let choose = |version| {
+        let choose = |service: &Service, version: Option<&Version>| {
             let excluded = &self.state.excluded;
             self.context.choose(service, Class::Online, excluded, version, objective)
         };
         if self.version.is_some() {
-            return choose(self.version.as_ref());
-        }
-        let bound = self.origin.bound_version(&self.context);
-        match (choose(bound), bound) {
-            (Err(_), Some(bound)) if !self.is_bound && self.has_other_version(bound) => {
-                choose(None)
+            return choose(&self.service, self.version.as_ref());
+        }
+        let bound = self.origin.bound_software(&self.context);
+        let mut choice = choose(&self.service, bound.map(|bound| &bound.version));
+        let may_leave = bound.is_none() || !self.is_bound;
+        if choice.is_err()
+            && may_leave
+            && bound.is_some_and(|bound| self.has_other_version(&bound.version))
+        {
+            choice = choose(&self.service, None);
+        }
+        if !matches!(choice, Err(Refusal::NoUpstream { .. })) || !may_leave {
+            return choice;
+        }
+        let others = self.routed.route.services().filter(|service| **service != self.service);
+        let mut others = others.map(|service| (service, choose(service, None)));
+        match others.find_map(|(service, choice)| Some((service.clone(), choice.ok()?))) {
+            Some((service, permit)) => {
+                self.service = service;
+                self.trace.record_service(&self.service);
+                Ok(permit)
             }
-            (choice, _) => choice,
+            None => choice,
         }
     }
 
@@ -485,19 +503,19 @@
     fn has_other_version(&self, version: &Version) -> bool {
         let fleet = self.context.fleet();
         let mut entries = fleet.entries().values();
-        entries.any(|entry| entry.service == self.routed.service && entry.version != *version)
+        entries.any(|entry| entry.service == self.service && entry.version != *version)
     }
 
     /// Sends the request to the upstream of `permit`.
     fn send(&mut self, permit: &Permit) -> Sending {
         self.state.record_send();
         self.trace.record_send(permit);
-        let version = &permit.pick.version;
+        let software = permit.pick.software();
+        let to_withdraw = self.origin.to_withdraw(&self.context, &software);
         if !self.state.has_begun() {
             let deadline = self.state.deadline();
-            self.origin.propose(&self.context, &self.routed, version, deadline);
+            self.origin.propose(&self.context, &self.routed, software, deadline);
         }
-        let to_withdraw = self.origin.to_withdraw(&self.context, version);
         let (context, routed) = (Arc::clone(&self.context), Arc::clone(&self.routed));
         let pick = permit.pick.clone();
         let remaining = (self.state.deadline() - context.clock.now()).duration();
@@ -545,10 +563,11 @@
     fn keep_version(&mut self) {
         let Some(current) = &self.current else { return };
         if self.version.is_none() {
-            let version = current.permit.pick.version.clone();
+            let software = current.permit.pick.software();
             let deadline = self.state.deadline();
-            self.origin.settle(&self.context, &self.routed, &version, deadline);
-            self.version = Some(version);
+            self.origin.settle(&self.context, software.clone(), deadline);
+            self.service = software.service;
+            self.version = Some(software.version);
         }
     }
 
--- a/serving/src/exchange/origin.rs
+++ b/serving/src/exchange/origin.rs
@@ -33,13 +33,7 @@
     }
     // A resume that doesn't name its first request may still go on if there is only one version.
     let request = Digest::of(routed.resumes.as_deref().unwrap_or_default());
-    let services: Vec<&Service> = routed
-        .route
-        .split
-        .iter()
-        .filter(|share| share.weight > 0)
-        .map(|share| &share.service)
-        .collect();
+    let services: Vec<&Service> = routed.route.services().collect();
     let only_service = match services[..] {
         [service] => Some(service),
         _ => None,
@@ -59,9 +53,9 @@
     /// Nothing: the request wasn't sent, or its origin isn't recorded.
     #[default]
     None,
-    /// The version that the request is sent to before its first event. Another version may bring the
+    /// The software that the request is sent to before its first event. Another one may bring the
     /// first event only after a withdrawal.
-    Proposed(Digest, Version),
+    Proposed(Digest, Software),
     /// The origin can't change any more.
     Final,
 }
@@ -73,47 +67,39 @@
         &mut self,
         context: &Context,
         routed: &RoutedRequest,
-        version: &Version,
+        software: Software,
         deadline: Millis,
     ) {
         let (Record::None, Some(request)) = (&*self, recorded_request(routed)) else { return };
         let now = context.clock.now();
-        let software = Software { service: routed.service.clone(), version: version.clone() };
         let mut origins = context.origins.state();
         if is_resume(routed) {
             let revision = origins.find(now, request).map_or(0, |known| known.revision);
             origins.record(now, request, Origin { software, revision }, deadline);
             *self = Record::Final;
         } else {
-            origins.propose(now, request, software, deadline);
-            *self = Record::Proposed(request, version.clone());
+            origins.propose(now, request, software.clone(), deadline);
+            *self = Record::Proposed(request, software);
         }
     }
 
-    /// Records that `version` has brought the first event.
-    pub(super) fn settle(
-        &mut self,
-        context: &Context,
-        routed: &RoutedRequest,
-        version: &Version,
-        deadline: Millis,
-    ) {
+    /// Records that `software` has brought the first event.
+    pub(super) fn settle(&mut self, context: &Context, software: Software, deadline: Millis) {
         let Record::Proposed(request, _) = std::mem::replace(self, Record::Final) else { return };
         let now = context.clock.now();
-        let software = Software { service: routed.service.clone(), version: version.clone() };
         context.origins.state().settle(now, request, software, deadline);
     }
 
-    /// The only version that may bring the first event. `None` stands for any version.
-    pub(super) fn bound_version(&self, context: &Context) -> Option<&Version> {
-        let Record::Proposed(request, version) = self else { return None };
-        (!context.origins.state().is_withdrawn(*request)).then_some(version)
+    /// The only software that may bring the first event. `None` stands for any.
+    pub(super) fn bound_software(&self, context: &Context) -> Option<&Software> {
+        let Record::Proposed(request, software) = self else { return None };
+        (!context.origins.state().is_withdrawn(*request)).then_some(software)
     }
 
-    /// The request whose origin must be withdrawn before it is sent to `version`.
-    pub(super) fn to_withdraw(&self, context: &Context, version: &Version) -> Option<Digest> {
+    /// The request whose origin must be withdrawn before it is sent to `software`.
+    pub(super) fn to_withdraw(&self, context: &Context, software: &Software) -> Option<Digest> {
         let Record::Proposed(request, _) = self else { return None };
-        self.bound_version(context).filter(|bound| *bound != version).map(|_| *request)
+        self.bound_software(context).filter(|bound| *bound != software).map(|_| *request)
     }
 }
 
--- a/serving/src/exchange/task.rs
+++ b/serving/src/exchange/task.rs
@@ -63,7 +63,8 @@
 pub struct RoutedRequest {
     pub request: Request,
     pub route: Arc<Route>,
-    /// Service selected by the traffic split of the route.
+    /// Service selected by the traffic split of the route. Another one of the route takes the request
+    /// if this one turns out to have no upstream for it.
     pub service: Service,
     /// Version of the configuration that routed the request.
     pub config_version: u64,
@@ -141,7 +142,7 @@
         fingerprint: Fingerprint,
         permit: &Permit,
     ) {
-        let software = permit.software(routed);
+        let software = permit.pick.software();
         let attempt = permit.attempt(routed, &software, fingerprint);
         let changes = self.parts().record_answer(self.clock.now(), attempt);
         changes::log_parts(&changes);
@@ -152,6 +153,11 @@
         changes::log_parts(&changes);
     }
 
+    /// Selects a service of a route by weight, one with healthy upstreams if there is any.
+    pub fn select_service(&self, route: &Route) -> Service {
+        self.balance().select_service(self.clock.now(), route, rand::random())
+    }
+
     /// Chooses an upstream for one send and counts the request as in flight there until the result
     /// is dropped.
     pub(crate) fn choose(
@@ -342,10 +348,6 @@
 }
 
 impl Permit {
-    fn software(&self, routed: &RoutedRequest) -> Software {
-        Software { service: routed.service.clone(), version: self.pick.version.clone() }
-    }
-
     fn attempt<'a>(
         &self,
         routed: &'a RoutedRequest,
@@ -432,7 +434,7 @@
     }
     uplink::check_path(context, &permit.pick, Sign::ConnectionBroke);
     let (context, routed, pick) = (Arc::clone(context), Arc::clone(routed), permit.pick.clone());
-    let software = permit.software(&routed);
+    let software = permit.pick.software();
     let known_crashes = permit.known_crashes;
     tokio::spawn(async move {
         if uplink::examine(&context, &pick).await == Verdict::NotUpstream {
--- a/serving/src/exchange/trace.rs
+++ b/serving/src/exchange/trace.rs
@@ -4,7 +4,9 @@
 
 use prometheus_client::metrics::histogram::Histogram;
 
-use crate::{access::Denial, balance::Refusal, metrics::RouteLabel, time::Millis, upstream};
+use crate::{
+    access::Denial, balance::Refusal, id::Service, metrics::RouteLabel, time::Millis, upstream,
+};
 
 use super::{Context, RoutedRequest, task::Permit};
 
@@ -60,6 +62,13 @@
         }
     }
 
+    /// Records that another service of the route takes the request.
+    pub(super) fn record_service(&mut self, service: &Service) {
+        let at = self.elapsed();
+        let previous = std::mem::replace(&mut self.service, service.0.clone());
+        self.append_to_sends(format_args!("{previous} has no upstream @{at}"));
+    }
+
     pub(super) fn record_send(&mut self, permit: &Permit) {
         let at = self.elapsed();
         self.append_to_sends(format_args!(
--- a/serving/src/forward/server.rs
+++ b/serving/src/forward/server.rs
@@ -248,6 +248,7 @@
     Some(Pick {
         upstream: upstream.clone(),
         address: entry.address,
+        service: entry.service.clone(),
         version: Version::default(),
         started: entry.started,
         class: Class::Online,
--- a/serving/tests/schedule.rs
+++ b/serving/tests/schedule.rs
@@ -7,7 +7,10 @@
     batch::{
         ledger::ItemId,
         order::{Urgency, WaitingItem},
-        schedule::{RunningItem, count_starts, select_pauses, waits_for_software},
+        schedule::{
+            Capacity, RunningItem, count_starts, select_pauses, stays_with_service,
+            waits_for_software,
+        },
     },
     id::Upstream,
     time::Millis,
@@ -80,3 +83,22 @@
     assert_eq!(waits(1_999), [true, true, false]);
     assert_eq!(waits(2_000), [false, false, false]);
 }
+
+/// Guards against items that wait for good for a service without healthy upstreams, and against items
+/// that start over although nothing else could run them.
+#[test]
+fn item_leaves_the_service_that_began_it_only_for_one_that_can_run_it() {
+    use Capacity::{Free, Full, None};
+    for best in [None, Full, Free] {
+        for own in [None, Full, Free] {
+            assert!(stays_with_service(own, best, Millis(400)), "{own:?} {best:?}");
+            let stays = match (own, best) {
+                (Free, _) | (_, None) | (Full, Full) => true,
+                (None, Full | Free) | (Full, Free) => false,
+            };
+            assert_eq!(stays_with_service(own, best, Millis(2_000)), stays, "{own:?} {best:?}");
+        }
+    }
+    assert!(!stays_with_service(None, Free, Millis(500)));
+    assert!(stays_with_service(Full, Free, Millis(1_999)));
+}
