fix(batch): end writes that the log can't accept instead of repeating them

Cause: output is kept as bytes and became text when the result was decided; each wrong byte was replaced by three, so 124,200 bytes grew to 372,600 after the check of their size. The log refuses such a record for good. The owner took any refusal for a passing one, and all later writes wait behind the one in progress.

Evidence: 179 lines "append failed ... status 413" in 19 s, 105 ms apart, all of one partition; the run had ended complete; the log has no record of the other results.

Change: output that is no text, or too long, ends the run as failed at its upstream; the next one begins anew at another upstream, and max_attempts such runs end the item. Keys and values are checked by their final size. Heads are written in several appends where needed, deletions one append for each job. A write that the log refuses alone with a 4xx, and again after it has accepted a proof of ownership, ends with its reason. An owner ends if the outcome of an append can't be known any more, and reads a partition again that it got in part.

Cost: no new records, no calls while the log accepts what it is sent.

--- a/serving/src/batch/ledger/job.rs
+++ b/serving/src/batch/ledger/job.rs
@@ -4,7 +4,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{fleet::Software, id::Job as JobId, time::Millis};
+use crate::{
+    fleet::Software,
+    id::{Job as JobId, Upstream},
+    time::Millis,
+};
 
 use super::super::record::{Failure, Head, Outcome, RunId};
 
@@ -59,6 +63,8 @@
     pub(super) is_impossible: bool,
     /// A record of the item's progress was written, and has to be deleted with the item.
     pub(super) saved: bool,
+    /// Upstreams whose output can't be stored, by run. Later owners begin anew.
+    pub(super) unstorable: Vec<Upstream>,
 }
 
 /// A job with its results and the state of its items.
@@ -93,6 +99,7 @@
             failures: BTreeSet::new(),
             is_impossible: false,
             saved: false,
+            unstorable: Vec::new(),
         };
         let items = vec![tracked; head.items.len()];
         let waiting_tokens = head.tokens();
--- a/serving/src/batch/ledger/mod.rs
+++ b/serving/src/batch/ledger/mod.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     catalog::Catalog,
-    id::{Job as JobId, Workspace},
+    id::{Job as JobId, Upstream, Workspace},
     log_store,
     time::Millis,
 };
@@ -44,6 +44,20 @@
     Failed,
     /// The upstream answered 422 or the item is no valid HTTP request; a retry can't succeed.
     Impossible,
+    /// The upstream sent output that no record can hold. Another one may send other output.
+    Unstorable(Upstream),
+}
+
+impl RunEnd {
+    pub fn name(&self) -> &'static str {
+        match self {
+            RunEnd::Complete => "complete",
+            RunEnd::Interrupted => "interrupted",
+            RunEnd::Failed => "failed",
+            RunEnd::Impossible => "impossible",
+            RunEnd::Unstorable(_) => "unstorable",
+        }
+    }
 }
 
 /// The jobs of one partition and the state of their items.
@@ -261,6 +275,13 @@
         }
     }
 
+    /// Returns the record that deletes the saved progress of an item, if there is any.
+    pub fn delete_progress(&mut self, item: &ItemId) -> Option<log_store::Record> {
+        let tracked = &mut self.jobs.get_mut(&item.job)?.items[item.index as usize];
+        let key = Key::Progress { job: item.job.clone(), item: item.index };
+        std::mem::take(&mut tracked.saved).then(|| record::delete(&key))
+    }
+
     /// Returns the records of the progress of all waiting items, for the next owner.
     pub fn save_all_progress(&mut self) -> Vec<log_store::Record> {
         let mut waiting = Vec::new();
@@ -276,9 +297,16 @@
         waiting.iter().filter_map(|(item, progress)| self.save_progress(item, progress)).collect()
     }
 
+    /// Upstreams whose output for an item can't be stored.
+    pub fn unstorable_at(&self, item: &ItemId) -> BTreeSet<Upstream> {
+        let tracked = self.jobs.get(&item.job).map(|job| &job.items[item.index as usize]);
+        tracked.map(|tracked| tracked.unstorable.iter().cloned().collect()).unwrap_or_default()
+    }
+
     /// Applies the end of a run. The run decides the item's result on success, if the item is
     /// impossible, and on failure number `max_failures`. After an earlier failure the item waits for
-    /// `retry_delay`, and until the failure is durable.
+    /// `retry_delay`, and until the failure is durable. Runs whose output can't be stored count
+    /// separately, and are not recorded.
     pub fn finish_run(
         &mut self,
         now: Millis,
@@ -302,6 +330,11 @@
                 (is_last.then_some(State::DeadLettered), Progress::default(), now + retry_delay)
             }
             RunEnd::Interrupted => (None, progress, now),
+            RunEnd::Unstorable(upstream) => {
+                tracked.unstorable.push(upstream.clone());
+                let is_last = tracked.unstorable.len() >= max_failures.max(1) as usize;
+                (is_last.then_some(State::DeadLettered), progress, now + retry_delay)
+            }
         };
         if job.cancelled {
             tracked.stage = Stage::Waiting { progress, not_before, since: now };
@@ -310,7 +343,7 @@
         let failure = match end {
             RunEnd::Failed => Some(Failure::Failed),
             RunEnd::Impossible => Some(Failure::Impossible),
-            RunEnd::Complete | RunEnd::Interrupted => None,
+            RunEnd::Complete | RunEnd::Interrupted | RunEnd::Unstorable(_) => None,
         };
         let failure = failure.and_then(|failure| {
             self.failed_runs += 1;
@@ -329,6 +362,7 @@
             return RunRecords { result: Vec::new(), failure };
         };
         let output = match state {
+            // Runs and restored progress hold UTF-8 only.
             State::Succeeded => String::from_utf8_lossy(&progress.output).into_owned(),
             State::DeadLettered => String::new(),
         };
@@ -336,6 +370,19 @@
         RunRecords { result, failure }
     }
 
+    /// Dead-letters an item whose result at `position` can't be written. Returns the record of the new
+    /// result; `None` if the item was dead-lettered already.
+    pub fn replace_result(&mut self, id: &JobId, position: u32) -> Option<log_store::Record> {
+        let outcome = self.jobs.get_mut(id)?.results.get_mut(position as usize)?;
+        if outcome.state == State::DeadLettered {
+            return None;
+        }
+        (outcome.state, outcome.output) = (State::DeadLettered, String::new());
+        let record = record::encode_outcome(id, position, outcome);
+        let log_error = |error: &_| log::error!(job = id.0.as_str(), error:% = error; "could not encode the result of an item");
+        record.inspect_err(log_error).ok()
+    }
+
     /// Jobs whose unfinished items are to be abandoned; `wall` is in Unix milliseconds. A route
     /// counts as gone only if it is missing from a newer configuration than the one under which
     /// the job was accepted, because the configuration of this node may still be an older one.
@@ -369,8 +416,9 @@
     }
 
     /// Removes jobs that were accepted before `before` (Unix milliseconds) and are cancelled, or
-    /// complete with all results listed. Returns the records that delete their keys.
-    pub fn remove_expired(&mut self, before: u64) -> Vec<log_store::Record> {
+    /// complete with all results listed. Returns the records that delete the keys of each job
+    /// separately.
+    pub fn remove_expired(&mut self, before: u64) -> Vec<Vec<log_store::Record>> {
         let expired: Vec<JobId> = self
             .jobs
             .iter()
@@ -380,9 +428,10 @@
             })
             .map(|(id, _)| id.clone())
             .collect();
-        let mut records = Vec::new();
+        let mut removed = Vec::new();
         for id in expired {
             let Some(job) = self.jobs.remove(&id) else { continue };
+            let mut records = Vec::new();
             for position in 0..job.results.len() as u32 {
                 records.push(record::delete(&Key::Outcome { job: id.clone(), position }));
             }
@@ -396,11 +445,10 @@
                 records.push(record::delete(&Key::Cancelled { job: id.clone() }));
             }
             // The head is deleted last: a restored ledger ignores results without a head.
-            for chunk in (0..job.head_chunks).rev() {
-                records.push(record::delete(&Key::Head { job: id.clone(), chunk }));
-            }
+            records.extend(delete_head(&id, job.head_chunks));
+            removed.push(records);
         }
-        records
+        removed
     }
 
     /// Stores the result of an item. Returns its record, then those that delete its progress and its
@@ -441,6 +489,12 @@
     }
 }
 
+/// The records that delete the head of a job.
+pub(in crate::batch) fn delete_head(job: &JobId, chunks: u32) -> Vec<log_store::Record> {
+    let key = |chunk| Key::Head { job: job.clone(), chunk };
+    (0..chunks).rev().map(|chunk| record::delete(&key(chunk))).collect()
+}
+
 /// The records that delete failed runs of an item.
 fn delete_failures(job: &JobId, item: u32, failures: &BTreeSet<RunId>) -> Vec<log_store::Record> {
     let key = |run: &RunId| Key::Failure { job: job.clone(), item, run: *run };
--- a/serving/src/batch/ledger/restore.rs
+++ b/serving/src/batch/ledger/restore.rs
@@ -46,7 +46,11 @@
                         log::error!(key = entry.key.as_str(), error:% = error; "could not decode the result of an item");
                     }
                 },
-                Key::Progress { job, item } => match postcard::from_bytes(value) {
+                Key::Progress { job, item } => match postcard::from_bytes::<Progress>(value) {
+                    // Older nodes save output that no result can hold.
+                    Ok(saved) if std::str::from_utf8(&saved.output).is_err() => {
+                        log::warn!(key = entry.key.as_str(); "the progress of an item isn't UTF-8; the item restarts from its beginning");
+                    }
                     Ok(saved) => {
                         progress.entry(job).or_default().insert(item, saved);
                     }
@@ -75,8 +79,12 @@
                     log::error!(job = id.0.as_str(), error:% = error; "could not decode the head of a job");
                     continue;
                 }
+                // Its owner was replaced before it had written the whole head, so the job was never
+                // accepted.
                 None => {
-                    log::error!(job = id.0.as_str(); "ignored a job whose head is incomplete");
+                    log::warn!(job = id.0.as_str(); "ignored a job whose head is incomplete");
+                    let key = |chunk: &u32| Key::Head { job: id.clone(), chunk: *chunk };
+                    ledger.obsolete.extend(chunks.keys().map(|chunk| record::delete(&key(chunk))));
                     continue;
                 }
             };
--- a/serving/src/batch/owner/calls.rs
+++ b/serving/src/batch/owner/calls.rs
@@ -158,7 +158,7 @@
             Ok(records) => {
                 self.submit_replies.entry(id.clone()).or_default().extend(replies);
                 log::info!(job = id.0.as_str(), items = items, partition = self.partition.number, epoch = self.producer.epoch; "writing a job to the log");
-                self.queue_write(records, Effect::Accepted(id));
+                self.queue_head(id, records);
                 self.schedule();
             }
             Err(error) => {
--- a/serving/src/batch/owner/items.rs
+++ b/serving/src/batch/owner/items.rs
@@ -8,7 +8,7 @@
 use tokio::{sync::oneshot, task, time::Instant};
 
 use crate::{
-    balance::Class,
+    balance::{Class, Refusal},
     catalog::Route,
     exchange::Permit,
     fleet::Software,
@@ -268,8 +268,16 @@
     /// slot for too long.
     fn choose(&self, item: &ItemId, service: &Service) -> Result<(Permit, bool), Start> {
         let context = &self.dependencies.context;
+        let unstorable = self.ledger.unstorable_at(item);
         let choose = |version: Option<&Version>| {
-            context.choose(service, Class::Batch, &BTreeSet::new(), version, Millis(0))
+            let choose =
+                |excluded| context.choose(service, Class::Batch, excluded, version, Millis(0));
+            match choose(&unstorable) {
+                Err(Refusal::NoUpstream { .. }) if !unstorable.is_empty() => {
+                    choose(&BTreeSet::new())
+                }
+                choice => choice,
+            }
         };
         let waiting = self.ledger.waiting_progress(context.clock.now(), item);
         let begun = waiting.filter(|(progress, _)| !progress.is_empty());
@@ -349,9 +357,16 @@
         let now = self.dependencies.context.clock.now();
         let retry_delay = Millis(self.dependencies.settings.retry_ms);
         let metrics = &self.dependencies.context.metrics;
-        metrics.count(&metrics.batch_events, "run", &format!("{end:?}").to_lowercase());
+        metrics.count(&metrics.batch_events, "run", end.name());
         let RunRecords { result, failure } =
             self.ledger.finish_run(now, &id, &end, progress, max_attempts, retry_delay);
+        if matches!(end, RunEnd::Unstorable(_)) {
+            if !result.is_empty() {
+                log::warn!(job = id.job.0.as_str(), item = id.index, runs = max_attempts, why = "its output can't be stored"; "dead-lettered an item");
+            } else if let Some(record) = self.ledger.delete_progress(&id) {
+                self.queue_write(vec![record], Effect::Saved);
+            }
+        }
         match (result.is_empty(), failure) {
             (false, failure) => self.queue_write_of_run(result, Effect::Listed(id.job), failure),
             (true, Some(record)) => {
@@ -373,9 +388,8 @@
             log::info!(job = job.0.as_str(), partition = self.partition.number; "dead-lettered an item that has failed at earlier owners");
             self.queue_write(records, Effect::Listed(job));
         }
-        let obsolete = self.ledger.take_obsolete();
-        if !obsolete.is_empty() {
-            self.queue_write(obsolete, Effect::Saved);
+        for record in self.ledger.take_obsolete() {
+            self.queue_write(vec![record], Effect::Saved);
         }
     }
 
@@ -395,9 +409,8 @@
                 self.queue_write(records, Effect::Listed(id.clone()));
             }
         }
-        let deleted =
-            self.ledger.remove_expired(wall.saturating_sub(self.dependencies.settings.keep_ms));
-        if !deleted.is_empty() {
+        let before = wall.saturating_sub(self.dependencies.settings.keep_ms);
+        for deleted in self.ledger.remove_expired(before) {
             self.queue_write(deleted, Effect::Saved);
         }
     }
--- a/serving/src/batch/owner/mod.rs
+++ b/serving/src/batch/owner/mod.rs
@@ -98,6 +98,8 @@
     ledger: Ledger,
     /// Writes that wait for an append.
     writes: VecDeque<Write>,
+    /// Number of the first writes that are appended one by one.
+    isolated: usize,
     /// Failed runs in writes that a later owner has prevented.
     unsaved_failures: Vec<log_store::Record>,
     pending_append: Option<PendingAppend>,
@@ -154,7 +156,11 @@
         }
         let snapshot = loop {
             match dependencies.store.read_latest(&partition).await {
-                Ok(snapshot) => break snapshot,
+                Ok(snapshot) if snapshot.is_complete => break snapshot,
+                Ok(_) => {
+                    log::warn!(partition = partition.number; "the log returned a part of a partition only");
+                    sleep(RETRY_DELAY.duration()).await;
+                }
                 Err(error) => {
                     log::warn!(partition = partition.number, error:% = error; "could not read a partition");
                     sleep(RETRY_DELAY.duration()).await;
@@ -186,6 +192,7 @@
             producer: Producer { sequence: 1, ..producer },
             ledger,
             writes: VecDeque::new(),
+            isolated: 0,
             unsaved_failures: Vec::new(),
             pending_append: None,
             submit_replies: BTreeMap::new(),
--- a/serving/src/batch/owner/writes.rs
+++ b/serving/src/batch/owner/writes.rs
@@ -1,6 +1,9 @@
 //! Appends of an owner to the log: one at a time, each repeated until its outcome is known.
+//!
+//! All writes of a partition wait behind the append in progress. So no write is sent that exceeds the
+//! limits of the log, and one that the log refuses for good ends instead of being repeated.
 
-use std::sync::Arc;
+use std::{collections::VecDeque, sync::Arc};
 
 use bytes::Bytes;
 use tokio::{
@@ -15,7 +18,10 @@
 };
 
 use super::{
-    super::{ledger::ItemId, record},
+    super::{
+        ledger::{ItemId, delete_head},
+        record::{self, Key},
+    },
     Owner, RETRY_DELAY,
     handle::{Admission, Unavailable},
 };
@@ -24,10 +30,17 @@
 const MAX_SAVES: u32 = 20;
 /// Delay between two of them.
 const SAVE_DELAY: Millis = Millis(500);
+/// Maximum length of a key in bytes.
+const MAX_KEY_BYTES: usize = 255;
+/// Maximum size of a record's value in addition to `record_bytes`, for what is encoded around an output
+/// or a chunk of that size.
+const MAX_VALUE_OVERHEAD: usize = 64;
 
 /// What to do when a write is durable.
 #[derive(Clone, Debug)]
 pub(super) enum Effect {
+    /// No action: the rest of the job's head follows.
+    Begun(JobId),
     /// Confirm the job and answer its submitters.
     Accepted(JobId),
     /// List the next result of the job.
@@ -38,6 +51,8 @@
     Cancelled(JobId),
     /// No further action: the records hold progress or delete keys.
     Saved,
+    /// No further action: the append has shown that no later owner has claimed the partition.
+    Proved,
 }
 
 /// Records that are appended together.
@@ -47,6 +62,22 @@
     pub(super) effect: Effect,
     /// A failed run of an item that is lost to later owners if the write isn't made.
     pub(super) failure: Option<Record>,
+    /// The log has refused the write once as one that it can't accept.
+    pub(super) is_doubtful: bool,
+}
+
+impl Effect {
+    /// The job whose acceptance depends on the write.
+    fn submitted(&self) -> Option<&JobId> {
+        match self {
+            Effect::Begun(id) | Effect::Accepted(id) => Some(id),
+            Effect::Listed(_)
+            | Effect::Failed(_)
+            | Effect::Cancelled(_)
+            | Effect::Saved
+            | Effect::Proved => None,
+        }
+    }
 }
 
 /// An append in progress.
@@ -73,7 +104,37 @@
         effect: Effect,
         failure: Option<Record>,
     ) {
-        self.writes.push_back(Write { records, effect, failure });
+        let write = Write { records, effect, failure, is_doubtful: false };
+        if let Some(record) = write.records.iter().find(|record| !self.is_storable(record)) {
+            let reason = format!("record {} has {} bytes", record.key, encoded_len(record));
+            let replacement = self.end_write(write, &reason);
+            self.writes.extend(replacement);
+            return;
+        }
+        self.writes.push_back(write);
+    }
+
+    /// Whether the log can hold a record.
+    fn is_storable(&self, record: &Record) -> bool {
+        let limit = self.dependencies.settings.record_bytes + MAX_VALUE_OVERHEAD;
+        let bytes = record.value.as_ref().map_or(0, Bytes::len);
+        record.key.len() <= MAX_KEY_BYTES && bytes <= limit
+    }
+
+    /// Queues the head of a new job, in several appends if it is too large for one.
+    pub(super) fn queue_head(&mut self, id: JobId, records: Vec<Record>) {
+        let limit = self.dependencies.settings.append_bytes;
+        let (mut part, mut bytes) = (Vec::new(), 0);
+        for record in records {
+            let length = encoded_len(&record);
+            if !part.is_empty() && bytes + length > limit {
+                self.queue_write(std::mem::take(&mut part), Effect::Begun(id.clone()));
+                bytes = 0;
+            }
+            bytes += length;
+            part.push(record);
+        }
+        self.queue_write(part, Effect::Accepted(id));
     }
 
     /// Starts an append of queued writes, up to `append_bytes`, unless one is in progress. Without
@@ -86,17 +147,19 @@
             if !self.tenure.needs_proof() {
                 return;
             }
-            self.queue_write(vec![record::ownership_proof()], Effect::Saved);
+            self.queue_write(vec![record::ownership_proof()], Effect::Proved);
         }
         let mut writes = Vec::new();
         let mut bytes = 0;
         while let Some(write) = self.writes.front() {
             bytes += write.records.iter().map(encoded_len).sum::<usize>();
-            if !writes.is_empty() && bytes > self.dependencies.settings.append_bytes {
+            let is_full = bytes > self.dependencies.settings.append_bytes || self.isolated > 0;
+            if !writes.is_empty() && is_full {
                 break;
             }
             writes.extend(self.writes.pop_front());
         }
+        self.isolated = self.isolated.saturating_sub(1);
         self.start_append(writes, false, Millis(0));
     }
 
@@ -156,6 +219,22 @@
                 self.producer.sequence = expected;
                 self.start_append(writes, false, Millis(0));
             }
+            // An earlier attempt may still arrive, so no other sequence number is safe. The next owner
+            // at this node fences it.
+            Err(Error::OutOfSequence(expected)) => {
+                log::error!(partition = self.partition.number, epoch = self.producer.epoch, sequence = self.producer.sequence, expected = expected; "restarting the owner: the outcome of an append can't be known");
+                self.keep_failures(&writes);
+                self.reject(writes, Unavailable::Unknown);
+                let queued = std::mem::take(&mut self.writes);
+                self.keep_failures(&queued);
+                self.reject(queued, Unavailable::NotAccepted);
+                return false;
+            }
+            Err(Error::Invalid(reason)) => {
+                log::warn!(partition = self.partition.number, writes = writes.len(), why = reason.as_str(); "the log can't accept an append");
+                self.isolate(writes, &reason);
+                self.schedule();
+            }
             Err(Error::Unknown(reason)) => {
                 log::warn!(partition = self.partition.number, why = reason.as_str(), sequence = self.producer.sequence; "repeating an append whose outcome is unknown");
                 self.start_append(writes, true, RETRY_DELAY);
@@ -168,9 +247,8 @@
                 }
                 // Nothing was written. Submissions are rejected, so that their callers can retry
                 // at another node; all other writes are repeated.
-                let (submissions, kept): (Vec<Write>, Vec<Write>) = writes
-                    .into_iter()
-                    .partition(|write| matches!(write.effect, Effect::Accepted(_)));
+                let (submissions, kept): (Vec<Write>, Vec<Write>) =
+                    writes.into_iter().partition(|write| write.effect.submitted().is_some());
                 self.reject(submissions, Unavailable::NotAccepted);
                 self.schedule();
                 if !kept.is_empty() {
@@ -185,6 +263,7 @@
     fn handle_durable(&mut self, effect: Effect) {
         let metrics = Arc::clone(&self.dependencies.context.metrics);
         match effect {
+            Effect::Begun(_) => {}
             Effect::Accepted(id) => {
                 metrics.count(&metrics.batch_events, "job", "accepted");
                 self.ledger.confirm_job(&id);
@@ -203,7 +282,7 @@
                     let _ = reply.send(Ok(Some(())));
                 }
             }
-            Effect::Saved => {}
+            Effect::Saved | Effect::Proved => {}
         }
     }
 
@@ -217,13 +296,91 @@
     /// submitters.
     fn reject(&mut self, writes: impl IntoIterator<Item = Write>, reason: Unavailable) {
         for write in writes {
-            let Effect::Accepted(id) = write.effect else { continue };
-            self.ledger.withdraw(&id);
-            log::info!(job = id.0.as_str(), outcome:? = reason; "job not accepted");
-            for reply in self.submit_replies.remove(&id).unwrap_or_default() {
-                let _ = reply.send(Err(reason));
+            if let Some(id) = write.effect.submitted() {
+                self.withdraw(id, &write.records, Err(reason));
+            }
+        }
+    }
+
+    /// Withdraws a submitted job and answers its submitters. `records` are the first ones of its head
+    /// that won't be written.
+    fn withdraw(&mut self, id: &JobId, records: &[Record], answer: Result<Admission, Unavailable>) {
+        self.ledger.withdraw(id);
+        self.writes.retain(|write| write.effect.submitted() != Some(id));
+        log::info!(job = id.0.as_str(), outcome:? = answer; "job not accepted");
+        for reply in self.submit_replies.remove(id).unwrap_or_default() {
+            let _ = reply.send(answer.clone());
+        }
+        let first = records.first().and_then(|record| Key::decode(&record.key));
+        if let Some(Key::Head { chunk: written @ 1.., .. }) = first {
+            self.queue_write(delete_head(id, written), Effect::Saved);
+        }
+    }
+
+    /// Finds out which of `writes` the log can't accept, after it has refused them together: they are
+    /// appended one by one. A write ends if the log refuses it alone, and again after it has
+    /// accepted a proof of ownership, so that it refuses not just any append.
+    fn isolate(&mut self, mut writes: Vec<Write>, reason: &str) {
+        let [first] = &mut writes[..] else { return self.put_back(writes) };
+        if matches!(first.effect, Effect::Proved) {
+            let is_submission = |write: &Write| write.effect.submitted().is_some();
+            let (submissions, kept): (VecDeque<Write>, VecDeque<Write>) =
+                self.writes.drain(..).partition(is_submission);
+            self.writes = kept;
+            self.reject(submissions, Unavailable::NotAccepted);
+            return self.start_append(writes, false, RETRY_DELAY);
+        }
+        if std::mem::replace(&mut first.is_doubtful, true) {
+            let replacements = writes.into_iter().filter_map(|write| self.end_write(write, reason));
+            let replacements = replacements.collect();
+            return self.put_back(replacements);
+        }
+        self.put_back(writes);
+        let records = vec![record::ownership_proof()];
+        let proof = Write { records, effect: Effect::Proved, failure: None, is_doubtful: false };
+        self.start_append(vec![proof], false, Millis(0));
+    }
+
+    /// Puts writes back at the front of the queue, to be appended one by one.
+    fn put_back(&mut self, writes: Vec<Write>) {
+        self.isolated += writes.len();
+        for write in writes.into_iter().rev() {
+            self.writes.push_front(write);
+        }
+    }
+
+    /// Ends a write that the log can't accept, and goes on as far as possible without it. Returns a write
+    /// to make in its place.
+    fn end_write(&mut self, write: Write, reason: &str) -> Option<Write> {
+        log::error!(partition = self.partition.number, effect:? = write.effect, records = write.records.len(), why = reason; "dropped a write that the log can't accept");
+        let metrics = Arc::clone(&self.dependencies.context.metrics);
+        metrics.count(&metrics.batch_events, "write", "dropped");
+        match write.effect {
+            Effect::Begun(id) | Effect::Accepted(id) => {
+                self.withdraw(&id, &write.records, Ok(Admission::Invalid(reason.to_string())));
+            }
+            Effect::Listed(id) => {
+                let mut records = write.records;
+                let key = records.first().and_then(|record| Key::decode(&record.key));
+                if let Some(Key::Outcome { position, .. }) = key
+                    && let Some(record) = self.ledger.replace_result(&id, position)
+                {
+                    log::warn!(job = id.0.as_str(), position = position, why = reason; "dead-lettered an item whose result the log can't accept");
+                    records[0] = record;
+                    let (effect, failure) = (Effect::Listed(id), write.failure);
+                    return Some(Write { records, effect, failure, is_doubtful: false });
+                }
+                self.ledger.confirm_result(&id);
+            }
+            Effect::Failed(item) => self.ledger.confirm_failure(&item),
+            Effect::Cancelled(id) => {
+                for reply in self.cancel_replies.remove(&id).unwrap_or_default() {
+                    let _ = reply.send(Err(Unavailable::Unknown));
+                }
             }
+            Effect::Saved | Effect::Proved => {}
         }
+        None
     }
 }
 
--- a/serving/src/batch/run.rs
+++ b/serving/src/batch/run.rs
@@ -95,8 +95,14 @@
         };
         let (end, reason) = match result {
             Ok(end) => {
-                if end == RunEnd::Complete {
-                    self.permit.outcome = Outcome::Succeeded;
+                match &end {
+                    RunEnd::Complete => self.permit.outcome = Outcome::Succeeded,
+                    RunEnd::Unstorable(_) => {
+                        self.permit.outcome = Outcome::Failed;
+                        // The next run must not resume after an output that can't be right.
+                        self.progress = Progress::default();
+                    }
+                    RunEnd::Interrupted | RunEnd::Failed | RunEnd::Impossible => {}
                 }
                 (end, String::new())
             }
@@ -135,8 +141,8 @@
     }
 
     /// Sends the request and reads the response to its end. Fails if the upstream can't be reached,
-    /// closes the connection early, sends no new event for `silence_ms`, sends more output than a
-    /// record of the log holds, or answers with a status other than 200, 422 and 500.
+    /// closes the connection early, sends no new event for `silence_ms`, or answers with a status
+    /// other than 200, 422 and 500.
     async fn exchange(&mut self) -> Result<RunEnd, Failure> {
         let send = Options {
             upstream: &self.permit.pick.upstream,
@@ -190,6 +196,10 @@
             let before = (self.progress.events, self.progress.last_event);
             for event in splitter.by_ref() {
                 has_events = true;
+                // Results are text, in the log and for callers.
+                if std::str::from_utf8(&event.data()).is_err() {
+                    return Ok(self.end_unstorable("an event isn't UTF-8"));
+                }
                 self.progress.apply(&event).map_err(Failure::broken)?;
             }
             if (self.progress.events, self.progress.last_event) != before {
@@ -202,9 +212,7 @@
                 return Err(Failure::broken("an event is too long"));
             }
             if self.progress.output.len() > self.settings.record_bytes {
-                // The next run must not resume after an output that can't be right.
-                self.progress = Progress::default();
-                return Err(Failure::broken("the output is too long"));
+                return Ok(self.end_unstorable("the output is too long"));
             }
             if self.progress.events >= saved + self.settings.save_events
                 && saved_at.elapsed() >= MIN_SAVE_INTERVAL
@@ -218,6 +226,15 @@
     }
 }
 
+impl Run {
+    /// How a run ends whose output no record can hold.
+    fn end_unstorable(&self, reason: &str) -> RunEnd {
+        let upstream = self.permit.pick.upstream.clone();
+        log::warn!(job = self.id.job.0.as_str(), item = self.request.id.as_str(), upstream = upstream.0.as_str(), events = self.progress.events, why = reason; "the output of an item can't be stored");
+        RunEnd::Unstorable(upstream)
+    }
+}
+
 impl Progress {
     /// Appends the next event. An event that is already included is ignored.
     ///
--- a/serving/src/log_store.rs
+++ b/serving/src/log_store.rs
@@ -22,6 +22,9 @@
     /// The service refused the call, which had no effect.
     #[error("the log refused the call: {0}")]
     Refused(String),
+    /// The service can't accept the call, which had no effect, and would refuse it again.
+    #[error("the log can't accept the call: {0}")]
+    Invalid(String),
     /// No response arrived. An append may have taken effect or may still do so.
     #[error("the outcome of the call is unknown: {0}")]
     Unknown(String),
--- a/serving/tests/ledger.rs
+++ b/serving/tests/ledger.rs
@@ -356,7 +356,7 @@
         ledger.confirm_result(&JobId::from("job"));
     }
     assert!(ledger.remove_expired(1_000).is_empty(), "not old enough");
-    records.extend(ledger.remove_expired(1_001));
+    records.extend(ledger.remove_expired(1_001).into_iter().flatten());
     let mut kept: BTreeMap<String, bool> = BTreeMap::new();
     for record in &records {
         kept.insert(record.key.clone(), record.value.is_some());
--- a/standins/src/keyed_log.rs
+++ b/standins/src/keyed_log.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
@@ -14,6 +17,10 @@
     time::{Clock, Millis},
 };
 
+/// Maximum size of a record: the length of its key, the key and the value.
+const MAX_RECORD_BYTES: usize = 256 << 10;
+/// Maximum size of the records of one append, with their lengths.
+const MAX_APPEND_BYTES: usize = 2 << 20;
 /// Responses of a partition that are repeated for a repeated append.
 const REPEATABLE: u64 = 5;
 
@@ -71,12 +78,24 @@
     partitions: u16,
     state: Arc<Mutex<State>>,
     fault: Arc<Mutex<Fault>>,
+    max_record_bytes: Arc<AtomicUsize>,
 }
 
 impl Log {
     /// A log whose topics have `partitions` partitions each.
     pub fn new(partitions: u16) -> Log {
-        Log { clock: Clock::default(), partitions, state: Arc::default(), fault: Arc::default() }
+        Log {
+            clock: Clock::default(),
+            partitions,
+            state: Arc::default(),
+            fault: Arc::default(),
+            max_record_bytes: Arc::new(AtomicUsize::new(MAX_RECORD_BYTES)),
+        }
+    }
+
+    /// Refuses records of more than `bytes`, whatever nodes are told.
+    pub fn limit_records(&self, bytes: usize) {
+        self.max_record_bytes.store(bytes, Ordering::Relaxed);
     }
 
     /// The same log as another caller sees it, with faults of its own.
@@ -149,6 +168,7 @@
         producer: &Producer,
         records: &[Record],
     ) -> Result<()> {
+        self.check_sizes(records)?;
         let mut state = self.lock();
         let part = state.parts.entry(partition.clone()).or_default();
         if producer.epoch < part.epoch {
@@ -176,6 +196,18 @@
         Ok(())
     }
 
+    fn check_sizes(&self, records: &[Record]) -> Result<()> {
+        let size =
+            |record: &Record| 1 + record.key.len() + record.value.as_ref().map_or(0, Bytes::len);
+        let sizes: Vec<usize> = records.iter().map(size).collect();
+        let total: usize = sizes.iter().map(|size| size + 4).sum();
+        let limit = self.max_record_bytes.load(Ordering::Relaxed);
+        if sizes.iter().any(|size| *size > limit) || total > MAX_APPEND_BYTES {
+            return Err(Error::Invalid(format!("{} records of {total} bytes", records.len())));
+        }
+        Ok(())
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
