fix(batch): keep the route under which a job was accepted

Callers saw: a configuration added a route to an application below the prefix of the batch route.

Cause: a job kept the host and path of its submission only; each lookup found the route that had the path by then, of any kind.

Evidence: the items' own path is below the batch route in both configurations, and both nodes had the new one.

Change: the route's id and prefix are kept in a record beside the head. A job belongs to the route with that id, else with that prefix; if that is gone, to the batch route with its path. Routes of other kinds don't count.

Older nodes ignore the record and leave it behind; the next newer owner deletes it.

--- a/serving/src/batch/ledger/mod.rs
+++ b/serving/src/batch/ledger/mod.rs
@@ -108,8 +108,12 @@
         due: Millis,
         record_bytes: usize,
     ) -> record::Result<Vec<log_store::Record>> {
-        let records = record::encode_head(id, &head, record_bytes)?;
-        self.jobs.insert(id.clone(), Job::new(head, due, records.len()));
+        let mut records = record::encode_head(id, &head, record_bytes)?;
+        let chunks = records.len();
+        if let Some(route) = &head.route {
+            records.push(record::encode_route(id, route)?);
+        }
+        self.jobs.insert(id.clone(), Job::new(head, due, chunks));
         Ok(records)
     }
 
@@ -388,7 +392,7 @@
     /// the job was accepted, because the configuration of this node may still be an older one.
     pub fn find_abandoned(&self, catalog: &Catalog, wall: u64) -> Vec<(JobId, AbandonReason)> {
         let reason = |job: &Job| {
-            let Some(route) = catalog.find(&job.head.host, &job.head.path) else {
+            let Some(route) = job.head.find_route(catalog) else {
                 return (catalog.version > job.head.config).then_some(AbandonReason::RouteGone);
             };
             let limit = route.abandon_after;
@@ -444,6 +448,9 @@
             if job.cancelled {
                 records.push(record::delete(&Key::Cancelled { job: id.clone() }));
             }
+            if job.head.route.is_some() {
+                records.push(record::delete(&Key::Route { job: id.clone() }));
+            }
             // The head is deleted last: a restored ledger ignores results without a head.
             records.extend(delete_head(&id, job.head_chunks));
             removed.push(records);
--- a/serving/src/batch/ledger/restore.rs
+++ b/serving/src/batch/ledger/restore.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 
-use crate::{id::Job as JobId, log_store, time::Millis};
+use crate::{catalog::RouteKey, id::Job as JobId, log_store, time::Millis};
 
 use super::{
     super::record::{self, Failure, Head, Key, Outcome, RunId},
@@ -28,6 +28,7 @@
         let mut outcomes: BTreeMap<JobId, BTreeMap<u32, Outcome>> = BTreeMap::new();
         let mut progress: BTreeMap<JobId, BTreeMap<u32, Progress>> = BTreeMap::new();
         let mut failures: BTreeMap<JobId, Vec<(u32, RunId, Failure)>> = BTreeMap::new();
+        let mut routes: BTreeMap<JobId, RouteKey> = BTreeMap::new();
         let mut cancelled = BTreeSet::new();
         for entry in records {
             let (Some(key), Some(value)) = (Key::decode(&entry.key), &entry.value) else {
@@ -66,6 +67,14 @@
                         log::warn!(key = entry.key.as_str(), error:% = error; "could not decode a failed run of an item; it doesn't count");
                     }
                 },
+                Key::Route { job } => match postcard::from_bytes(value) {
+                    Ok(route) => {
+                        routes.insert(job, route);
+                    }
+                    Err(error) => {
+                        log::warn!(key = entry.key.as_str(), error:% = error; "could not decode the route of a job; it is found by the path of the submission");
+                    }
+                },
                 Key::Cancelled { job } => {
                     cancelled.insert(job);
                 }
@@ -74,7 +83,7 @@
         let mut ledger = Ledger::default();
         for (id, chunks) in heads {
             let head = match record::decode_head(&chunks) {
-                Some(Ok(head)) => head,
+                Some(Ok(head)) => Head { route: routes.remove(&id), ..head },
                 Some(Err(error)) => {
                     log::error!(job = id.0.as_str(), error:% = error; "could not decode the head of a job");
                     continue;
@@ -110,6 +119,7 @@
             ledger.jobs.insert(id.clone(), job);
             ledger.make_ready(&id);
         }
+        ledger.obsolete.extend(routes.into_keys().map(|job| record::delete(&Key::Route { job })));
         // Nodes that don't know these records leave them behind when they remove a job.
         for (job, runs) in failures {
             let key = |(item, run, _)| Key::Failure { job: job.clone(), item, run };
--- a/serving/src/batch/owner/calls.rs
+++ b/serving/src/batch/owner/calls.rs
@@ -6,7 +6,7 @@
 use tokio::{sync::oneshot, time::Instant};
 
 use crate::{
-    catalog::Route,
+    catalog::{Kind, Route},
     id::{Job as JobId, Workspace},
     time::Millis,
 };
@@ -88,8 +88,11 @@
             submission.replies.push(reply);
             return;
         }
-        let route = self.find_route(&head).filter(|_| self.releasing.is_none());
-        let Some(route) = route else {
+        // The route of the submission, which no route of another kind below it may hide.
+        let catalog = self.dependencies.catalog.current();
+        let route = catalog.as_ref().and_then(|catalog| catalog.find(&head.host, &head.path));
+        let route = route.filter(|route| route.kind == Kind::Batch && self.releasing.is_none());
+        let Some(route) = route.cloned() else {
             let _ = reply.send(Err(Unavailable::NotAccepted));
             return;
         };
@@ -151,6 +154,7 @@
         route: &Route,
         replies: Vec<oneshot::Sender<Result<Admission, Unavailable>>>,
     ) {
+        head.route = Some(route.key());
         head.config = self.dependencies.catalog.current().map_or(0, |catalog| catalog.version);
         let due = self.dependencies.context.clock.now() + route.results_due;
         let items = head.items.len();
--- a/serving/src/batch/owner/items.rs
+++ b/serving/src/batch/owner/items.rs
@@ -380,10 +380,7 @@
     /// records of failed runs that are no longer needed.
     pub(super) fn apply_restored_failures(&mut self) {
         let catalog = self.dependencies.catalog.current();
-        let max_attempts = |head: &Head| {
-            let route = catalog.as_ref()?.find(&head.host, &head.path)?;
-            Some(route.max_attempts)
-        };
+        let max_attempts = |head: &Head| Some(head.find_route(catalog.as_ref()?)?.max_attempts);
         for (job, records) in self.ledger.give_up_failed(max_attempts) {
             log::info!(job = job.0.as_str(), partition = self.partition.number; "dead-lettered an item that has failed at earlier owners");
             self.queue_write(records, Effect::Listed(job));
--- a/serving/src/batch/owner/mod.rs
+++ b/serving/src/batch/owner/mod.rs
@@ -170,7 +170,7 @@
         let claimed_at = dependencies.context.clock.now();
         let catalog = dependencies.catalog.current();
         let due_after = |head: &Head| {
-            let route = catalog.as_ref().and_then(|catalog| catalog.find(&head.host, &head.path));
+            let route = catalog.as_ref().and_then(|catalog| head.find_route(catalog));
             route.map_or(Millis(0), |route| route.results_due)
         };
         let clock = &dependencies.context.clock;
@@ -325,7 +325,6 @@
 
     /// Finds the route of a job in the current configuration.
     fn find_route(&self, head: &Head) -> Option<Arc<Route>> {
-        let catalog = self.dependencies.catalog.current()?;
-        catalog.find(&head.host, &head.path).cloned()
+        head.find_route(self.dependencies.catalog.current()?.as_ref()).cloned()
     }
 }
--- a/serving/src/batch/record.rs
+++ b/serving/src/batch/record.rs
@@ -1,15 +1,16 @@
 //! Log records of batch jobs and their encoding.
 //!
-//! A job has a head in one or more chunks, a record for each result, a record of the progress of
+//! A job has a head in one or more chunks, a record of its route, a record for each result, a record of the progress of
 //! each unfinished item, a record for each failed run of an unfinished item, and a record of its
 //! cancellation.
 
-use std::{collections::BTreeMap, fmt, str::FromStr};
+use std::{collections::BTreeMap, fmt, str::FromStr, sync::Arc};
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    catalog::{Catalog, Route, RouteKey},
     id::{Job, Workspace},
     log_store,
 };
@@ -32,9 +33,18 @@
     /// it, and only if there is one.
     #[serde(skip)]
     pub workspace: Option<Workspace>,
+    /// The route under which the job was accepted. In a record of its own, which older nodes neither
+    /// write nor read.
+    #[serde(skip)]
+    pub route: Option<RouteKey>,
 }
 
 impl Head {
+    /// Finds the route of the job in a configuration.
+    pub fn find_route<'a>(&self, catalog: &'a Catalog) -> Option<&'a Arc<Route>> {
+        catalog.find_batch(&self.host, &self.path, self.route.as_ref())
+    }
+
     /// Tokens of all items. Saturates, because callers may state any number.
     pub(crate) fn tokens(&self) -> u64 {
         self.items.iter().map(|item| item.tokens).fold(0, u64::saturating_add)
@@ -117,6 +127,8 @@
 pub enum Key {
     /// A chunk of the job's head.
     Head { job: Job, chunk: u32 },
+    /// The route under which the job was accepted. Older nodes ignore these records.
+    Route { job: Job },
     /// A result at its position in the job's list of results.
     Outcome { job: Job, position: u32 },
     /// What the runs of an unfinished item have received so far.
@@ -132,6 +144,7 @@
     pub fn encode(&self) -> String {
         match self {
             Key::Head { job, chunk } => format!("h/{job}/{chunk:06}"),
+            Key::Route { job } => format!("t/{job}"),
             Key::Outcome { job, position } => format!("r/{job}/{position:06}"),
             Key::Progress { job, item } => format!("p/{job}/{item:06}"),
             Key::Failure { job, item, run } => format!("f/{job}/{item:06}/{run}"),
@@ -142,8 +155,10 @@
     /// Parses the text of a key; `None` if it isn't valid.
     pub fn decode(text: &str) -> Option<Key> {
         let (kind, rest) = text.split_once('/')?;
-        if kind == "e" {
-            return Some(Key::Cancelled { job: Job(rest.to_string()) });
+        match kind {
+            "e" => return Some(Key::Cancelled { job: Job(rest.to_string()) }),
+            "t" => return Some(Key::Route { job: Job(rest.to_string()) }),
+            _ => {}
         }
         let (rest, run) = match kind {
             "f" => rest.rsplit_once('/').map(|(rest, run)| (rest, Some(run)))?,
@@ -223,6 +238,15 @@
     Ok(head)
 }
 
+/// Encodes the route under which a job was accepted.
+///
+/// # Errors
+///
+/// Fails if `route` can't be encoded.
+pub fn encode_route(job: &Job, route: &RouteKey) -> Result<log_store::Record> {
+    Ok(put(&Key::Route { job: job.clone() }, postcard::to_stdvec(route)?))
+}
+
 /// Encodes a failed run of an item.
 ///
 /// # Errors
--- a/serving/src/catalog.rs
+++ b/serving/src/catalog.rs
@@ -1,10 +1,12 @@
 //! The active configuration: routes, their services, and limits for callers.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{Arc, Mutex, PoisonError},
 };
 
+use serde::{Deserialize, Serialize};
+
 use crate::{
     access::Directory,
     id::{Route as RouteId, Service},
@@ -71,6 +73,10 @@
 }
 
 impl Route {
+    pub fn key(&self) -> RouteKey {
+        RouteKey { id: self.id.clone(), prefix: self.prefix.clone() }
+    }
+
     /// The services that requests may go to.
     pub fn services(&self) -> impl Iterator<Item = &Service> {
         self.split.iter().filter(|share| share.weight > 0).map(|share| &share.service)
@@ -101,6 +107,13 @@
     }
 }
 
+/// What identifies a route in later configurations.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RouteKey {
+    pub id: RouteId,
+    pub prefix: String,
+}
+
 /// Size limits and timeouts for the requests of callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
@@ -154,6 +167,31 @@
         self.routes.get(host)?.iter().find(|route| path.starts_with(&route.prefix))
     }
 
+    /// Finds the route of a job that was accepted under the route `accepted` with a submission to `path`:
+    /// the one with that id, else with that prefix. A job whose route is gone or unknown goes to the
+    /// batch route with the longest prefix that begins the path. Routes of other kinds don't count.
+    pub fn find_batch(
+        &self,
+        host: &str,
+        path: &str,
+        accepted: Option<&RouteKey>,
+    ) -> Option<&Arc<Route>> {
+        let routes = self.routes.get(host)?;
+        let batch = || routes.iter().filter(|route| route.kind == Kind::Batch);
+        let same = accepted.and_then(|key| {
+            let by_id = batch().find(|route| route.id == key.id);
+            by_id.or_else(|| batch().find(|route| route.prefix == key.prefix))
+        });
+        same.or_else(|| batch().find(|route| path.starts_with(&route.prefix)))
+    }
+
+    /// The hosts that have batch routes.
+    pub fn batch_hosts(&self) -> impl Iterator<Item = &String> {
+        let has_batch =
+            |routes: &Vec<Arc<Route>>| routes.iter().any(|route| route.kind == Kind::Batch);
+        self.routes.iter().filter(move |(_, routes)| has_batch(routes)).map(|(host, _)| host)
+    }
+
     /// Whether callers without a key may submit jobs to a host.
     pub fn has_public_batch_route(&self, host: &str) -> bool {
         let routes = self.routes.get(host).into_iter().flatten();
@@ -169,8 +207,13 @@
 #[derive(Clone, Debug, Default)]
 pub struct State {
     current: Option<Arc<Catalog>>,
+    /// Hosts that have had batch routes, whose jobs outlive them. At most `MAX_BATCH_HOSTS`.
+    batch_hosts: BTreeSet<String>,
 }
 
+/// Maximum number of hosts that are remembered for their batch routes.
+const MAX_BATCH_HOSTS: usize = 4_096;
+
 impl State {
     pub fn current(&self) -> Option<Arc<Catalog>> {
         self.current.clone()
@@ -181,9 +224,21 @@
         if self.current.as_ref().is_some_and(|current| current.version >= catalog.version) {
             return false;
         }
+        self.remember(&catalog);
         self.current = Some(Arc::new(catalog));
         true
     }
+
+    /// Remembers the batch routes of an earlier configuration.
+    pub fn remember(&mut self, catalog: &Catalog) {
+        let room = MAX_BATCH_HOSTS.saturating_sub(self.batch_hosts.len());
+        self.batch_hosts.extend(catalog.batch_hosts().take(room).cloned());
+    }
+
+    /// Whether a host has a batch route, or is known to have had one.
+    pub fn has_had_jobs(&self, host: &str) -> bool {
+        self.batch_hosts.contains(host)
+    }
 }
 
 /// The active configuration, shared between the tasks of a process.
@@ -195,6 +250,16 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner).current()
     }
 
+    /// Remembers the batch routes of an earlier configuration.
+    pub fn remember(&self, catalog: &Catalog) {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).remember(catalog);
+    }
+
+    /// Whether a host has a batch route, or is known to have had one.
+    pub fn has_had_jobs(&self, host: &str) -> bool {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).has_had_jobs(host)
+    }
+
     /// Replaces the configuration if `catalog` has a higher version. Returns whether it did.
     pub fn update(&self, catalog: Catalog) -> bool {
         self.0.lock().unwrap_or_else(PoisonError::into_inner).update(catalog)
--- a/serving/tests/jobs.rs
+++ b/serving/tests/jobs.rs
@@ -137,6 +137,7 @@
         config: 0,
         items: (0..items).map(item).collect(),
         workspace: None,
+        route: None,
     }
 }
 
--- a/serving/tests/ledger.rs
+++ b/serving/tests/ledger.rs
@@ -13,7 +13,7 @@
             Failure, Head, Item, Key, RunId, State, decode_head, encode_failure, encode_head,
         },
     },
-    catalog::{Catalog, Kind, Limits, Route, Share},
+    catalog::{Catalog, Kind, Limits, Route, RouteKey, Share},
     fleet::Software,
     id::{Job as JobId, Workspace},
     log_store::Record,
@@ -42,6 +42,7 @@
         config: 5,
         items: (0..items).map(item).collect(),
         workspace: None,
+        route: None,
     }
 }
 
@@ -464,3 +465,23 @@
         assert_ne!(JobId::scoped(Some(&two), guess), secret, "{guess}");
     }
 }
+
+/// Guards against an owner that looks the route of a job up by path only, and against nodes of a
+/// release without the records of routes, which leave them behind.
+#[test]
+fn route_of_a_job_is_kept_beside_its_head() {
+    let id = JobId::from("job");
+    let accepted = RouteKey { id: "night".into(), prefix: "/jobs/night/".to_string() };
+    let head = Head { route: Some(accepted.clone()), ..head(1) };
+    let mut ledger = Ledger::default();
+    let records = ledger.submit(&id, head, Millis(0), 1 << 10).unwrap();
+    assert_eq!(restore(&records).job(&id).unwrap().head.route, Some(accepted));
+    let older: Vec<Record> =
+        records.iter().filter(|record| !record.key.starts_with("t/")).cloned().collect();
+    assert_eq!(older.len(), records.len() - 1);
+    assert_eq!(restore(&older).job(&id).unwrap().head.route, None);
+    let left: Vec<Record> =
+        records.into_iter().filter(|record| record.key.starts_with("t/")).collect();
+    let obsolete = restore(&left).take_obsolete();
+    assert_eq!(obsolete.iter().map(|record| record.key.as_str()).collect::<Vec<_>>(), ["t/job"]);
+}
