--- a/serving/src/forward/client.rs
+++ b/serving/src/forward/client.rs
@@ -64,6 +64,12 @@
 }
 
 impl Forwarders {
+    /// Forwarders whose responses share the memory for collected bodies with those of `pool`.
+    pub fn sharing_memory(pool: &Pool) -> Forwarders {
+        let own = Pool::resetting(upstream::Settings::default()).sharing_memory(pool);
+        Forwarders { pool: Arc::new(own), ..Forwarders::default() }
+    }
+
     pub fn state(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/serving/src/node.rs
+++ b/serving/src/node.rs
@@ -75,6 +75,7 @@
         let balance = balance::State::new(settings.balance, data_centre, identity.seed);
         let fleet = Arc::new(Mutex::<fleet::State>::default());
         let catalog = catalog::Handle::default();
+        let pool = upstream::Pool::new(settings.pool);
         let exchange = exchange::Context {
             access: Guard::new(settings.access, clock.clone(), catalog.clone()),
             origins: Arc::new(Origins::new(clock.clone(), Arc::clone(&fleet))),
@@ -84,9 +85,9 @@
             quarantine: Mutex::new(Quarantine::new(QUARANTINE_RETENTION)),
             parts: Mutex::new(parts::State::new(identity.seed)),
             uplink: Mutex::default(),
-            forwarders: Forwarders::default(),
+            forwarders: Forwarders::sharing_memory(&pool),
             epochs: Epochs::default(),
-            pool: Arc::new(upstream::Pool::new(settings.pool)),
+            pool: Arc::new(pool),
             codec,
             metrics,
         };
--- a/serving/src/upstream/call.rs
+++ b/serving/src/upstream/call.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, net::SocketAddr, sync::Arc, time::Duration};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body as _, Incoming};
@@ -297,17 +297,18 @@
             return Err(Failure::broken("the answer is too long"));
         }
         while let Some(bytes) = self.next_chunk().await? {
-            collected.bytes.extend_from_slice(&bytes);
-            if collected.bytes.len() > MAX_COLLECTED_BYTES {
+            let length = collected.bytes.len() + bytes.len();
+            if length > MAX_COLLECTED_BYTES {
                 return Err(Failure::broken("the answer is too long"));
             }
-            if !collected.reserve(&self.pool) {
+            if !collected.reserve(&self.pool, length) {
                 return Err(Failure::broken("too many long answers at once"));
             }
+            collected.bytes.extend_from_slice(&bytes);
         }
         Ok(match collected.reservation {
             Some(_) => Bytes::from_owner(collected),
-            None => collected.bytes.freeze(),
+            None => Bytes::from(collected.bytes),
         })
     }
 
@@ -359,26 +360,32 @@
 /// A body with its share of the memory for collected bodies.
 #[derive(Default)]
 struct CollectedBody {
-    bytes: BytesMut,
+    bytes: Vec<u8>,
     reservation: Option<OwnedSemaphorePermit>,
 }
 
 impl CollectedBody {
-    /// Reserves the memory of the bytes. Returns false if the pool has not enough left.
-    fn reserve(&mut self, pool: &Pool) -> bool {
-        let needed = self.bytes.capacity().saturating_sub(UNRESERVED_BYTES).div_ceil(1 << 10);
-        let reserved = self.reservation.as_ref().map_or(0, OwnedSemaphorePermit::num_permits);
-        if needed <= reserved {
+    /// Makes room for `length` bytes in all, at least twice as much as before. Returns false if the
+    /// pool has not enough memory left.
+    fn reserve(&mut self, pool: &Pool, length: usize) -> bool {
+        let capacity = self.bytes.capacity();
+        if length <= capacity {
             return true;
         }
-        let memory = Arc::clone(&pool.collected_kib);
-        let Ok(added) = memory.try_acquire_many_owned((needed - reserved) as u32) else {
-            return false;
-        };
-        match &mut self.reservation {
-            Some(reservation) => reservation.merge(added),
-            None => self.reservation = Some(added),
+        let capacity = length.max(2 * capacity).min(MAX_COLLECTED_BYTES);
+        let needed = capacity.saturating_sub(UNRESERVED_BYTES).div_ceil(1 << 10);
+        let reserved = self.reservation.as_ref().map_or(0, OwnedSemaphorePermit::num_permits);
+        if needed > reserved {
+            let memory = Arc::clone(&pool.collected_kib);
+            let Ok(added) = memory.try_acquire_many_owned((needed - reserved) as u32) else {
+                return false;
+            };
+            match &mut self.reservation {
+                Some(reservation) => reservation.merge(added),
+                None => self.reservation = Some(added),
+            }
         }
+        self.bytes.reserve_exact(capacity - self.bytes.len());
         true
     }
 }
--- a/serving/src/upstream/pool.rs
+++ b/serving/src/upstream/pool.rs
@@ -104,6 +104,11 @@
         }
     }
 
+    /// Shares the memory for collected bodies with `other`, so that the limit holds for both together.
+    pub fn sharing_memory(self, other: &Pool) -> Pool {
+        Pool { collected_kib: Arc::clone(&other.collected_kib), ..self }
+    }
+
     /// A pool that resets connections instead of closing them, for requests that must not arrive after
     /// they were given up.
     pub fn resetting(settings: Settings) -> Pool {
