fix(platform): answer what comes late in a planned stop

Cause: nothing compared the time of a request with the time that the process had left.

What begins during the stop has its answer before the process ends. A stopping node forwards nothing that may outlive it.

--- a/serving/src/exchange/task.rs
+++ b/serving/src/exchange/task.rs
@@ -20,6 +20,7 @@
     origins::Origins,
     parts::{self, Prompt},
     quarantine::{Fingerprint, Quarantine, Status},
+    shutdown::Shutdown,
     tenure::Epochs,
     time::{Clock, Millis},
     uplink::{self, Health, Sign, Verdict},
@@ -53,6 +54,7 @@
     pub forwarders: Forwarders,
     /// The owners of partitions, whose requests this node may forward.
     pub epochs: Epochs,
+    pub shutdown: Shutdown,
     pub pool: Arc<Pool>,
     pub codec: Arc<dyn Codec>,
     pub metrics: Arc<Metrics>,
--- a/serving/src/forward/server.rs
+++ b/serving/src/forward/server.rs
@@ -146,6 +146,11 @@
     let timeout = text(TIMEOUT).and_then(|timeout| timeout.parse().ok());
     let timeout = timeout.map_or(DEFAULT_TIMEOUT, Duration::from_millis);
     let is_probe = text(PROBE).is_some();
+    // The sender has other forwarders.
+    if !is_probe && !context.shutdown.leaves_time_for(Millis::from(timeout)) {
+        log::info!(request = id.as_str(), timeout_ms = timeout.as_millis() as u64; "refused to forward a request that this node may not live to answer");
+        return Err(Outcome::Refused);
+    }
     let tenure = match text(CLAIM).map(str::parse::<Claim>) {
         Some(Ok(claim)) => Some(receive_claim(context, claim)?),
         Some(Err(error)) => {
--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod peers;
 
 pub mod quarantine;
+pub mod shutdown;
 pub mod telemetry;
 pub mod tenure;
 pub mod time;
