fix(exchange): let nothing but numbered events go on with a stream

Cause: events without an id passed the comparison of ids, and any status of 2xx counted as a stream.

Change: a run that goes on with a stream must have status 200, the content type of the head that the caller has, and an id in its first event; else another upstream is asked. What has no ids isn't tried again once it has begun. A second head is never forwarded.

--- a/serving/src/batch/run.rs
+++ b/serving/src/batch/run.rs
@@ -83,6 +83,10 @@
     /// Runs the item until it ends or is paused.
     pub(super) async fn run(mut self) -> FinishedRun {
         let started_at = self.context.clock.now();
+        // Output without numbered events can't be resumed.
+        if self.progress.last_event.is_none() {
+            self.progress = Progress { software: self.progress.software, ..Progress::default() };
+        }
         let resume_after = self.progress.last_event;
         let events = self.progress.events;
         let mut pause = std::mem::replace(&mut self.pause, oneshot::channel().1);
@@ -175,6 +179,8 @@
         let mut body = response.body;
         let mut splitter = Splitter::default();
         let mut has_events = false;
+        // What follows a resume may be something else, such as the text of an error.
+        let mut is_proven = send.resume_after.is_none_or(|event| event == 0);
         let mut saved = self.progress.events;
         let mut saved_at = Instant::now();
         let mut progressed_at = Instant::now();
@@ -196,6 +202,10 @@
             let before = (self.progress.events, self.progress.last_event);
             for event in splitter.by_ref() {
                 has_events = true;
+                if !is_proven && event.id.is_none() && !event.is_comment() {
+                    return Err(Failure::broken("an event of a resumed stream has no id"));
+                }
+                is_proven |= event.id.is_some();
                 // Results are text, in the log and for callers.
                 if std::str::from_utf8(&event.data()).is_err() {
                     return Ok(self.end_unstorable("an event isn't UTF-8"));
--- a/serving/src/exchange/driver.rs
+++ b/serving/src/exchange/driver.rs
@@ -7,6 +7,7 @@
 use std::{future::Future, net::SocketAddr, pin::Pin, sync::Arc};
 
 use bytes::Bytes;
+use http::{HeaderValue, StatusCode, header::CONTENT_TYPE};
 
 use crate::{
     access,
@@ -77,6 +78,9 @@
     source: Source,
     /// Whether the upstream has been silent for too long and hasn't sent anything since.
     is_silent: bool,
+    /// The run goes on with a stream and hasn't sent a numbered event yet, so that what it sends may be
+    /// something else, such as the text of an error.
+    is_unproven: bool,
     /// The node through which the stream comes, if not directly.
     forwarder: Option<SocketAddr>,
 }
@@ -118,6 +122,10 @@
     /// before the first event.
     version: Option<Version>,
     origin: origin::Record,
+    /// The caller has the head of a stream.
+    has_head: bool,
+    /// Content type in that head.
+    content_type: Option<HeaderValue>,
     /// Whether other nodes failed to confirm that the request may move to another version. It isn't
     /// tried again.
     is_bound: bool,
@@ -153,6 +161,8 @@
             status,
             version,
             origin: origin::Record::default(),
+            has_head: false,
+            content_type: None,
             is_bound: false,
             current: None,
             successor: None,
@@ -250,7 +260,7 @@
                 current.forwarder = upstream::forwarder(&parts);
                 self.trace.record_forwarder(&parts);
                 self.resume_waiting();
-                (!self.state.has_begun()).then_some(Output::Head(parts))
+                self.head(parts)
             }
             Progress::Event(event) => self.handle_event(event),
             Progress::Complete => {
@@ -267,9 +277,18 @@
         }
     }
 
+    /// The head of a stream, unless the caller has one already.
+    fn head(&mut self, parts: http::response::Parts) -> Option<Output> {
+        if std::mem::replace(&mut self.has_head, true) {
+            return None;
+        }
+        self.content_type = parts.headers.get(CONTENT_TYPE).cloned();
+        Some(Output::Head(parts))
+    }
+
     /// Handles the complete answer of the current run.
     fn handle_answer(&mut self, parts: http::response::Parts, body: Bytes) -> Option<Output> {
-        if self.state.has_begun() {
+        if self.has_head {
             return self.handle_failure(not_resumed(parts.status));
         }
         let current = self.current.as_ref()?;
@@ -287,6 +306,17 @@
     }
 
     fn handle_event(&mut self, event: Event) -> Option<Output> {
+        if event.id.is_none() && !event.is_comment() {
+            if self.current.as_ref().is_some_and(|current| current.is_unproven) {
+                return self
+                    .handle_failure(Failure::broken("an event of a resumed stream has no id"));
+            }
+            self.state.record_unnumbered();
+        } else if event.id.is_some()
+            && let Some(current) = &mut self.current
+        {
+            current.is_unproven = false;
+        }
         match self.state.accept_event(event.id) {
             Ok(false) => None,
             Ok(true) => {
@@ -336,11 +366,9 @@
                 if let Some(current) = &mut self.current {
                     current.forwarder = upstream::forwarder(&parts);
                 }
-                return (!self.state.has_begun()).then_some(Output::Head(parts));
-            }
-            Ok(Received::Complete { parts, .. }) if self.state.has_begun() => {
-                not_resumed(parts.status)
+                return self.head(parts);
             }
+            Ok(Received::Complete { parts, .. }) if self.has_head => not_resumed(parts.status),
             Ok(Received::Complete { parts, .. }) if parts.status.is_server_error() => {
                 Failure::broken(format!("the upstream answered {}", parts.status))
             }
@@ -521,6 +549,7 @@
         let remaining = (self.state.deadline() - context.clock.now()).duration();
         let resume_after = self.state.resume_after();
         let is_retryable = self.state.is_retryable();
+        let content_type = self.content_type.clone();
         Box::pin(async move {
             if let Some(request) = to_withdraw
                 && !context.origins.withdraw(request).await
@@ -535,18 +564,25 @@
             };
             let answer = context.send(&routed.request, options, &pick, is_retryable).await?;
             let is_stream = matches!(routed.route.kind, Kind::Stream { .. });
-            if !is_stream || !answer.parts.status.is_success() {
+            // Events that the caller has are the only ones that other software may contradict.
+            let is_resumed = resume_after.is_some_and(|event| event > 0);
+            let status = answer.parts.status;
+            if !is_stream || !status.is_success() || (is_resumed && status != StatusCode::OK) {
                 let body = answer.body.collect().await?;
                 return Ok(Received::Complete { parts: answer.parts, body });
             }
+            let found = answer.parts.headers.get(CONTENT_TYPE);
+            if let (Some(expected), Some(found)) = (&content_type, found)
+                && expected != found
+            {
+                return Err(Failure::broken(format!("the stream was resumed as {found:?}")));
+            }
             let mut source = EventStream {
                 body: answer.body,
                 splitter: Splitter::default(),
                 has_events: false,
                 first: None,
             };
-            // Events that the caller has are the only ones that other software may contradict.
-            let is_resumed = resume_after.is_some_and(|event| event > 0);
             let check = async {
                 match is_resumed {
                     true => process::check(&context, &pick, &answer.parts).await,
@@ -573,7 +609,8 @@
 
     /// Replaces the current run.
     fn set_current(&mut self, permit: Permit, source: Source) {
-        self.current = Some(Run { permit, source, is_silent: false, forwarder: None });
+        let is_unproven = self.state.resume_after().is_some_and(|event| event > 0);
+        self.current = Some(Run { permit, source, is_silent: false, is_unproven, forwarder: None });
         self.held = None;
         self.search_at = self.state.silence_deadline(self.context.clock.now());
     }
--- a/serving/src/exchange/events.rs
+++ b/serving/src/exchange/events.rs
@@ -27,6 +27,12 @@
         data
     }
 
+    /// Whether the event consists of comments only.
+    pub fn is_comment(&self) -> bool {
+        let mut lines = self.bytes.split(|byte| *byte == b'\n');
+        lines.all(|line| matches!(line, [] | b"\r" | [b':', ..]))
+    }
+
     /// Whether the event has a `data` field.
     pub fn has_data(&self) -> bool {
         field_values(&self.bytes, b"data").next().is_some()
--- a/serving/src/exchange/state.rs
+++ b/serving/src/exchange/state.rs
@@ -73,6 +73,9 @@
     last_event: Option<u64>,
     /// Whether a part of the answer was forwarded to the caller.
     has_begun: bool,
+    /// Whether events without an id were forwarded, after which no other upstream can go on unless an
+    /// event with an id has followed.
+    has_unnumbered: bool,
     /// Whether an upstream may have run the request.
     may_have_run: bool,
     /// The last upstream that was silent for too long.
@@ -92,6 +95,7 @@
             max_silence,
             last_event: None,
             has_begun: false,
+            has_unnumbered: false,
             may_have_run: false,
             silent: None,
             excluded: BTreeSet::new(),
@@ -168,8 +172,18 @@
         }
     }
 
+    /// Records an event without an id that is forwarded and isn't just a comment.
+    pub fn record_unnumbered(&mut self) {
+        self.has_unnumbered = true;
+    }
+
+    /// Whether another upstream may send what is left of the answer.
+    fn can_continue(&self) -> bool {
+        !self.has_unnumbered || self.last_event.is_some()
+    }
+
     fn can_find_successor(&self) -> bool {
-        self.kind.is_retryable() && self.attempts > 0
+        self.kind.is_retryable() && self.attempts > 0 && self.can_continue()
     }
 
     /// Checks the next event of a stream. Returns whether to forward it: a resumed stream may
@@ -263,7 +277,7 @@
             return Action::End(self.end_at_deadline());
         }
         let may_repeat = !self.may_have_run || self.kind.is_retryable();
-        if self.attempts == 0 || !may_repeat {
+        if self.attempts == 0 || !may_repeat || !self.can_continue() {
             return Action::End(self.end_without_upstream());
         }
         Action::Send { resume_after: self.resume_after() }
--- a/serving/tests/jobs.rs
+++ b/serving/tests/jobs.rs
@@ -383,7 +383,8 @@
     assert_eq!(submitting.await.unwrap(), Ok(Admission::Durable));
     let number = partition_for("a", PARTITIONS);
     let partition = Partition { topic: TOPIC.to_string(), number };
-    assert_eq!(log.records(&partition).len(), 1);
+    let keys: Vec<String> = log.records(&partition).into_iter().map(|record| record.key).collect();
+    assert_eq!(keys, ["h/a/000000", "t/a"], "the head and the route, each once");
 }
 
 /// An append of an earlier owner reaches the log only after a later owner has claimed the
