fix(batch): dead-letter an item with too many headers

Callers saw: one item with 24,600 headers ended each owner of its partition.

Cause: http::HeaderMap panics above 24,576 entries, in the owner's task.

Change: an item with more than 4,096 headers, which no head of 16 KiB holds, is no valid HTTP request.

--- a/serving/src/batch/run.rs
+++ b/serving/src/batch/run.rs
@@ -27,6 +27,9 @@
 /// the log has taken them.
 const MIN_SAVE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Maximum number of headers of an item: as many as fit into a head of 16 KiB, of at least four bytes each.
+const MAX_HEADERS: usize = 4_096;
+
 /// How long to wait for an answer that may have arrived while the process stood still.
 const UNREAD_ANSWER_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -59,9 +62,13 @@
     pub(super) span: Millis,
 }
 
-/// Builds the request of an item. Fails if its path or a header is not allowed in HTTP; such an
-/// item can never succeed.
+/// Builds the request of an item. Fails if its path or a header is not allowed in HTTP, or if it has
+/// too many headers; such an item can never succeed.
 pub(super) fn request(head: &Head, item: &Item) -> Result<Request, String> {
+    // A map of headers panics when it is full, and headers of this node follow.
+    if item.headers.len() > MAX_HEADERS {
+        return Err(format!("{} headers are more than {MAX_HEADERS}", item.headers.len()));
+    }
     let mut headers = HeaderMap::new();
     for (name, value) in &item.headers {
         let name: HeaderName = name.parse().map_err(|error| format!("{name}: {error}"))?;
--- a/serving/tests/jobs.rs
+++ b/serving/tests/jobs.rs
@@ -543,6 +543,26 @@
     assert_eq!(page.results.len(), 1, "the item did not run");
 }
 
+/// Guards against an item whose headers don't fit into a request: it ended each owner of its partition.
+#[tokio::test]
+async fn item_with_too_many_headers_ends_no_owner() {
+    let log = Log::new(PARTITIONS);
+    let upstream = start_upstream().await;
+    let node = Node::start_with(&log, 1, 0, Arc::new(NoHeaders), Some(upstream));
+    let owner = node.owner().await;
+    let mut odd = head(1);
+    odd.items[0].headers = (0..24_600).map(|index| (format!("x{index}"), String::new())).collect();
+    assert_eq!(owner.submit(job("a"), odd).await, Ok(Admission::Durable));
+    let page = owner.read(job("a"), 0, Millis(3_000)).await.unwrap().unwrap();
+    assert_eq!(page.results.len(), 1, "the item has not ended");
+    let partition = partition_for("a", PARTITIONS);
+    let next = (0..).map(|index| format!("b{index}"));
+    let next = next.into_iter().find(|id| partition_for(id, PARTITIONS) == partition).unwrap();
+    assert_eq!(owner.submit(job(&next), head(1)).await, Ok(Admission::Durable));
+    let page = owner.read(job(&next), 0, Millis(3_000)).await.unwrap().unwrap();
+    assert_eq!(page.results.len(), 1, "an item behind it has not run");
+}
+
 #[tokio::test]
 async fn fenced_owner_accepts_nothing() {
     let log = Log::new(PARTITIONS);
