fix(exchange): check which process began a stream before another goes on

Cause: a stream that began at the new process before its entry was read had the version of the old entry. Only the upstream that resumes was checked.

Change: before another upstream goes on within an answer, the registry is read once more. If it names another process for the one that began, which had started by the first event, nothing goes on with the stream.

Cost: one read of the registry for each such resume, shared by all that wait; no probe.

--- a/serving/src/batch/run.rs
+++ b/serving/src/batch/run.rs
@@ -126,6 +126,7 @@
                     FailureKind::Connect
                     | FailureKind::NoPath
                     | FailureKind::Announced
+                    | FailureKind::UnknownOrigin
                     | FailureKind::Leaving
                     | FailureKind::Lapsed
                     | FailureKind::Overloaded
--- a/serving/src/exchange/driver.rs
+++ b/serving/src/exchange/driver.rs
@@ -121,6 +121,8 @@
     /// that the caller resumes. Only this version of the service may go on with the stream. `None`
     /// before the first event.
     version: Option<Version>,
+    /// The process that brought the first event of this answer.
+    first_process: Option<process::Origin>,
     origin: origin::Record,
     /// The caller has the head of a stream.
     has_head: bool,
@@ -160,6 +162,7 @@
             fingerprint,
             status,
             version,
+            first_process: None,
             origin: origin::Record::default(),
             has_head: false,
             content_type: None,
@@ -334,12 +337,12 @@
     }
 
     fn handle_failure(&mut self, failure: Failure) -> Option<Output> {
+        self.record_binding(&failure);
         let current = self.current.as_ref()?;
         self.trace.record_failure(&current.permit, &failure.message);
         let permit = &current.permit;
         self.context.count_failure(&permit.pick, &failure);
         report_crash(&self.context, &self.routed, self.fingerprint, permit, &failure);
-        self.is_bound |= failure.kind == FailureKind::Announced;
         let now = self.context.clock.now();
         if let Some(forwarder) = current.forwarder {
             self.context.forwarders.record_failure(now, forwarder);
@@ -386,7 +389,7 @@
                 failure
             }
         };
-        self.is_bound |= failure.kind == FailureKind::Announced;
+        self.record_binding(&failure);
         self.trace.record_failure(&successor.permit, &failure.message);
         self.state.record_successor_failure(&successor.permit.pick.upstream, &failure);
         end_run(successor.permit, state::health_outcome(&failure));
@@ -527,6 +530,14 @@
         }
     }
 
+    /// Records what a failure says about where the request may go.
+    fn record_binding(&mut self, failure: &Failure) {
+        self.is_bound |= failure.kind == FailureKind::Announced;
+        if failure.kind == FailureKind::UnknownOrigin {
+            self.state.record_unknown_version();
+        }
+    }
+
     /// Whether the service has upstreams of another version than `version`.
     fn has_other_version(&self, version: &Version) -> bool {
         let fleet = self.context.fleet();
@@ -550,6 +561,7 @@
         let resume_after = self.state.resume_after();
         let is_retryable = self.state.is_retryable();
         let content_type = self.content_type.clone();
+        let first_process = self.first_process.clone();
         Box::pin(async move {
             if let Some(request) = to_withdraw
                 && !context.origins.withdraw(request).await
@@ -584,6 +596,9 @@
                 first: None,
             };
             let check = async {
+                if let Some(origin) = &first_process {
+                    process::check_origin(&context, origin).await?;
+                }
                 match is_resumed {
                     true => process::check(&context, &pick, &answer.parts).await,
                     false => Ok(()),
@@ -598,6 +613,12 @@
     /// Keeps the version of the current run, which has brought an event.
     fn keep_version(&mut self) {
         let Some(current) = &self.current else { return };
+        if self.first_process.is_none() {
+            let pick = &current.permit.pick;
+            let (upstream, started) = (pick.upstream.clone(), pick.started);
+            let at = self.context.clock.wall_time();
+            self.first_process = Some(process::Origin { upstream, started, at });
+        }
         if self.version.is_none() {
             let software = current.permit.pick.software();
             let deadline = self.state.deadline();
--- a/serving/src/exchange/process.rs
+++ b/serving/src/exchange/process.rs
@@ -9,6 +9,8 @@
 
 use crate::{
     balance::Pick,
+    id::Upstream,
+    time::Millis,
     upstream::{self, Failure, Options, Passthrough, Request},
 };
 
@@ -73,6 +75,36 @@
     }
 }
 
+/// The process that brought the first event of a stream, as the registry named it then.
+#[derive(Clone, Debug)]
+pub(crate) struct Origin {
+    pub(crate) upstream: Upstream,
+    pub(crate) started: u64,
+    /// When the event arrived, in Unix milliseconds.
+    pub(crate) at: Millis,
+}
+
+/// Checks by a new read of the registry that the process of `origin` had not been replaced before its
+/// first event, so that the version of the stream is the one that the registry named. One that has
+/// restarted since, or is gone, passes; so does any if the registry can't be read.
+///
+/// # Errors
+///
+/// Fails if another process brought the event.
+pub(crate) async fn check_origin(context: &Context, origin: &Origin) -> upstream::Result<()> {
+    let read = context.origins.reads.wait(context.clock.boot_time());
+    if origin.started == 0 || tokio::time::timeout(REPORT_TIMEOUT, read).await.is_err() {
+        return Ok(());
+    }
+    let started = context.fleet().entries().get(&origin.upstream).map(|entry| entry.started);
+    match started {
+        Some(started) if started != origin.started && started <= origin.at.0 => {
+            Err(Failure::unknown_origin(origin.started, started))
+        }
+        Some(_) | None => Ok(()),
+    }
+}
+
 /// Whether the registry, read after the response began, still names the process of `pick`.
 async fn is_registered(context: &Context, pick: &Pick) -> bool {
     let read = context.origins.reads.wait(context.clock.boot_time());
--- a/serving/src/exchange/state.rs
+++ b/serving/src/exchange/state.rs
@@ -73,6 +73,8 @@
     last_event: Option<u64>,
     /// Whether a part of the answer was forwarded to the caller.
     has_begun: bool,
+    /// The version of the stream isn't known, so that no other upstream can go on with it.
+    has_unknown_version: bool,
     /// Whether events without an id were forwarded, after which no other upstream can go on unless an
     /// event with an id has followed.
     has_unnumbered: bool,
@@ -95,6 +97,7 @@
             max_silence,
             last_event: None,
             has_begun: false,
+            has_unknown_version: false,
             has_unnumbered: false,
             may_have_run: false,
             silent: None,
@@ -177,9 +180,14 @@
         self.has_unnumbered = true;
     }
 
+    /// Records that the version of the stream isn't known.
+    pub fn record_unknown_version(&mut self) {
+        self.has_unknown_version = true;
+    }
+
     /// Whether another upstream may send what is left of the answer.
     fn can_continue(&self) -> bool {
-        !self.has_unnumbered || self.last_event.is_some()
+        !self.has_unknown_version && (!self.has_unnumbered || self.last_event.is_some())
     }
 
     fn can_find_successor(&self) -> bool {
@@ -304,6 +312,7 @@
         FailureKind::Overloaded => Outcome::Full,
         FailureKind::NoPath
         | FailureKind::Announced
+        | FailureKind::UnknownOrigin
         | FailureKind::Leaving
         | FailureKind::Lapsed => Outcome::Neutral,
         FailureKind::Misdirected => Outcome::Misdirected,
--- a/serving/src/upstream/call.rs
+++ b/serving/src/upstream/call.rs
@@ -44,6 +44,8 @@
     /// The request may not move to the version of this upstream, because other nodes may still hold
     /// the version that it was announced with.
     Announced,
+    /// The stream that the request goes on with was not begun by the version that the registry named.
+    UnknownOrigin,
     /// The upstream is leaving, so that the request was not sent there.
     Leaving,
     /// The sender's tenure, under which it sends the request, has ended.
@@ -64,6 +66,7 @@
             FailureKind::Connect => "connect",
             FailureKind::NoPath => "no_path",
             FailureKind::Announced => "announced",
+            FailureKind::UnknownOrigin => "unknown_origin",
             FailureKind::Leaving => "leaving",
             FailureKind::Lapsed => "lapsed",
             FailureKind::Overloaded => "overloaded",
@@ -101,6 +104,13 @@
         Failure { kind: FailureKind::Announced, delivery: Delivery::NotSent, message }
     }
 
+    /// Another process than the one in the registry began the stream, so that its version isn't known.
+    pub(crate) fn unknown_origin(expected: u64, found: u64) -> Failure {
+        let message =
+            format!("the stream was begun by the process of {found}, not by that of {expected}");
+        Failure { kind: FailureKind::UnknownOrigin, delivery: Delivery::Sent, message }
+    }
+
     /// The upstream is leaving, and the request was not sent there.
     pub(crate) fn leaving(message: String) -> Failure {
         Failure { kind: FailureKind::Leaving, delivery: Delivery::NotSent, message }
