fix(batch): count only reports of this node's own owners as up to date

A partition that is still being restored has the report of an earlier owner, which says nothing of grants since.

--- a/serving/src/batch/directory.rs
+++ b/serving/src/batch/directory.rs
@@ -151,11 +151,18 @@
         self.lock().remote_owners.entry(number).or_insert((0, address));
     }
 
-    /// Records that the reports of the partitions that this node owns are up to date at `now`.
+    /// Records that the reports of this node's owners are up to date at `now`. A partition that is still
+    /// being restored has the report of an earlier owner.
     pub(super) fn confirm_own_reports(&self, now: Millis) {
-        let owned: Vec<u16> = self.lock().owned.keys().copied().collect();
+        let epoch = |owned: &LocalOwner| owned.tenure.ownership.epoch;
+        let owned: Vec<(u16, u64)> =
+            self.lock().owned.iter().map(|(number, owned)| (*number, epoch(owned))).collect();
         let mut quota = self.quota();
-        owned.into_iter().for_each(|number| quota.confirm_report(now, number));
+        for (number, epoch) in owned {
+            if quota.last_report(number).is_some_and(|report| report.epoch == epoch) {
+                quota.confirm_report(now, number);
+            }
+        }
     }
 
     pub(super) fn quota(&self) -> MutexGuard<'_, quota::State> {
