fix(batch): let a coordinator decide by its assignment, without a hold

Change: the right to decide on reservations follows from a recent assignment, as before; the ledger plays no part in it. The hold of a new coordinator is taken back. Grants still count until reports include them.

fix(exchange): bound the reports of upstreams

A report is now at most 64 KiB.

--- a/serving/src/batch/owner/calls.rs
+++ b/serving/src/batch/owner/calls.rs
@@ -174,13 +174,14 @@
         }
     }
 
-    /// Decides on a reservation in a quota. Requires a recent confirmation of ownership: two owners
-    /// that grant reservations at the same time would exceed the quota.
+    /// Decides on a reservation in a quota. Requires a recent assignment of the partition: two owners
+    /// that grant reservations at the same time would exceed the quota. The ledger isn't asked, so that
+    /// it doesn't matter who held the partition before.
     fn reserve(&self, reservation: &Reservation) -> Result<Decision, Unavailable> {
         let catalog = self.dependencies.catalog.current().ok_or(Unavailable::NotAccepted)?;
         let route = catalog.iter().find(|route| route.id == reservation.route);
         let limit = route.ok_or(Unavailable::NotAccepted)?.token_quota;
-        if !self.is_ownership_verified() {
+        if self.tenure.assignment_age() > Millis(self.dependencies.settings.proof_ms) {
             return Err(Unavailable::NotAccepted);
         }
         if limit == 0 {
@@ -190,7 +191,7 @@
         let directory = &self.dependencies.coordinator.directory;
         directory.confirm_own_reports(now);
         let Reservation { job, route, tokens } = reservation;
-        Ok(directory.quota().reserve(now, self.claimed_at, job, route, *tokens, limit))
+        Ok(directory.quota().reserve(now, job, route, *tokens, limit))
     }
 
     /// Refuses to answer `None` without a recent confirmation of ownership, because a later owner
--- a/serving/src/batch/owner/mod.rs
+++ b/serving/src/batch/owner/mod.rs
@@ -90,8 +90,6 @@
     dependencies: Dependencies,
     partition: Partition,
     tenure: Tenure,
-    /// When the partition was claimed.
-    claimed_at: Millis,
     /// Whether the tenure had lapsed when items were last to start.
     is_lapsed: bool,
     producer: Producer,
@@ -167,7 +165,6 @@
                 }
             }
         };
-        let claimed_at = dependencies.context.clock.now();
         let catalog = dependencies.catalog.current();
         let due_after = |head: &Head| {
             let route = catalog.as_ref().and_then(|catalog| head.find_route(catalog));
@@ -187,7 +184,6 @@
             dependencies,
             partition,
             tenure,
-            claimed_at,
             is_lapsed: false,
             producer: Producer { sequence: 1, ..producer },
             ledger,
--- a/serving/src/batch/quota.rs
+++ b/serving/src/batch/quota.rs
@@ -3,8 +3,7 @@
 //! Each owner reports the tokens of its partition, and nodes exchange the reports. The quota of a
 //! route is coordinated by one owner, that of the partition for the route's id. It grants
 //! reservations to new jobs. A grant counts against the quota for as long as reports may lack
-//! the granted job. A new coordinator grants nothing while reports may lack what an earlier one has
-//! granted.
+//! the granted job.
 
 use std::collections::BTreeMap;
 
@@ -46,8 +45,7 @@
     Granted,
     /// The reservation would exceed the quota.
     OverQuota,
-    /// Not decidable: some partition has not reported yet, or an earlier coordinator may have granted
-    /// what no report includes yet.
+    /// Not decidable: some partition has not reported yet.
     Unknown,
 }
 
@@ -120,18 +118,16 @@
     }
 
     /// Decides on the reservation of a job's tokens: reported and granted tokens of the route must
-    /// not exceed `limit`. A repeated request for the same job replaces its earlier grant. `since` is
-    /// when the owner that decides claimed the partition for the quota.
+    /// not exceed `limit`. A repeated request for the same job replaces its earlier grant.
     pub fn reserve(
         &mut self,
         now: Millis,
-        since: Millis,
         job: &Job,
         route: &Route,
         tokens: u64,
         limit: u64,
     ) -> Decision {
-        if self.reports.len() < usize::from(self.partitions) || now < since + GRANT_HOLD {
+        if self.reports.len() < usize::from(self.partitions) {
             return Decision::Unknown;
         }
         // The time alone doesn't count: this node may have stood still, or missed reports.
--- a/serving/src/exchange/process.rs
+++ b/serving/src/exchange/process.rs
@@ -18,6 +18,8 @@
 
 /// How long the upstream has to report. It runs beside the wait for the next event.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Maximum size of a report, which lists the requests that an upstream runs.
+const MAX_REPORT_BYTES: usize = 64 << 10;
 
 /// Asks the upstream of `pick` when its process started, after the head of its response to a resumed
 /// request and before any of its events counts. Upstreams whose entry or report doesn't state the time
@@ -54,7 +56,7 @@
         let pool = &context.pool;
         let answer =
             pool.send(&Passthrough, &request, options, pick.address, true, &|_| ()).await?;
-        Ok((answer.parts.status, answer.body.collect().await?))
+        Ok((answer.parts.status, answer.body.collect_at_most(MAX_REPORT_BYTES).await?))
     };
     let report = tokio::time::timeout(REPORT_TIMEOUT, report).await;
     let report = report.unwrap_or_else(|_| Err(Failure::timed_out()));
--- a/serving/src/tenure.rs
+++ b/serving/src/tenure.rs
@@ -44,6 +44,9 @@
     /// When the latest call was sent by which the log confirmed the ownership, in milliseconds of
     /// `CLOCK_BOOTTIME`.
     confirmed_at: AtomicU64,
+    /// When the latest call was sent in whose answer the log assigned the partition to this node, in
+    /// milliseconds of `CLOCK_BOOTTIME`.
+    assigned_at: AtomicU64,
     /// Until when another node may have held the partition, in milliseconds of `CLOCK_BOOTTIME`.
     doubted_at: AtomicU64,
     /// When the latest append was sent that the log accepted, in milliseconds of `CLOCK_BOOTTIME`.
@@ -55,7 +58,11 @@
 impl Tenure {
     /// A tenure that was last confirmed by a call sent at `confirmed_at`, a time of `CLOCK_BOOTTIME`.
     pub fn new(clock: Clock, ownership: Ownership, length: Millis, confirmed_at: Millis) -> Tenure {
-        let state = State { confirmed_at: AtomicU64::new(confirmed_at.0), ..State::default() };
+        let state = State {
+            confirmed_at: AtomicU64::new(confirmed_at.0),
+            assigned_at: AtomicU64::new(confirmed_at.0),
+            ..State::default()
+        };
         Tenure { ownership, clock, length, state: Arc::new(state) }
     }
 
@@ -69,6 +76,7 @@
     /// Records that the log assigns the partition to this node in its answer to a call sent at `at`,
     /// without a gap since the answer before. Confirms nothing while an earlier gap is in doubt.
     pub fn renew(&self, at: Millis) {
+        self.state.assigned_at.fetch_max(at.0, Ordering::Relaxed);
         if !self.needs_proof() {
             self.state.confirmed_at.fetch_max(at.0, Ordering::Relaxed);
         }
@@ -98,6 +106,11 @@
         self.clock.boot_time() - Millis(self.state.confirmed_at.load(Ordering::Relaxed))
     }
 
+    /// Time since the log last assigned the partition to this node, whoever held it before.
+    pub fn assignment_age(&self) -> Millis {
+        self.clock.boot_time() - Millis(self.state.assigned_at.load(Ordering::Relaxed))
+    }
+
     /// How much longer the owner may act if the log doesn't confirm its ownership again; `None` if
     /// it may no longer act.
     pub fn remaining(&self) -> Option<Millis> {
--- a/serving/src/upstream/call.rs
+++ b/serving/src/upstream/call.rs
@@ -301,14 +301,20 @@
 
     /// Reads the body to its end. Fails if it is longer than 8 MiB, or if it is longer than 64 KiB
     /// and the collected bodies of the pool take up too much memory.
-    pub async fn collect(mut self) -> Result<Bytes> {
+    pub async fn collect(self) -> Result<Bytes> {
+        self.collect_at_most(MAX_COLLECTED_BYTES).await
+    }
+
+    /// Reads the body to its end, as [`Body::collect`] does. Fails if it is longer than `max_bytes`,
+    /// which is at most 8 MiB.
+    pub(crate) async fn collect_at_most(mut self, max_bytes: usize) -> Result<Bytes> {
         let mut collected = CollectedBody::default();
-        if self.incoming.size_hint().lower() > MAX_COLLECTED_BYTES as u64 {
+        if self.incoming.size_hint().lower() > max_bytes as u64 {
             return Err(Failure::broken("the answer is too long"));
         }
         while let Some(bytes) = self.next_chunk().await? {
             let length = collected.bytes.len() + bytes.len();
-            if length > MAX_COLLECTED_BYTES {
+            if length > max_bytes {
                 return Err(Failure::broken("the answer is too long"));
             }
             if !collected.reserve(&self.pool, length) {
