fix(batch): doubt an ownership only after more than one change of the group

A single change of the group can't take a partition away and give it back, so its generation has to grow by two or more before a kept owner has to prove its ownership. A node that joins or leaves costs the others no append.

--- a/serving/src/batch/group.rs
+++ b/serving/src/batch/group.rs
@@ -300,7 +300,8 @@
     /// until `lease_until`. Both are times of `CLOCK_BOOTTIME`.
     ///
     /// A partition that is still assigned to this node may have been with another one meanwhile if the
-    /// membership had lapsed or the group has changed: such an owner has to prove its ownership.
+    /// membership had lapsed or the group has changed more than once: such an owner has to prove its
+    /// ownership.
     fn start_assigned(
         &self,
         assignment: &log_store::Assignment,
@@ -314,8 +315,9 @@
         if table.has_left {
             return;
         }
-        let has_changed = std::mem::replace(&mut table.generation, assignment.generation)
-            != assignment.generation;
+        // A single change can't take a partition away and give it back.
+        let previous = std::mem::replace(&mut table.generation, assignment.generation);
+        let has_changed = assignment.generation.abs_diff(previous) > 1;
         let mut doubted = Vec::new();
         for number in &assignment.partitions {
             if let Some(owned) = table.owned.get_mut(number) {
