fix(peers): let owners of partitions hear of each other in a large fleet

Cause: in a fleet of more than 80 peers an owner that only the group had named didn't count as an owner until a message of its own had arrived. The one message a second that an owner sends to all peers is some 290 datagrams at once, in the order of addresses; a link of 30 Mbit/s drops what it can't queue, the same tail each time.

Evidence: the owners of all missing partitions are at the last addresses, 10.5.* and 10.6.*. Each knows the other from the group only (epoch 0), for 9 s and more. In a trial with more output, where the coordinator was at 10.1.*, all reports were there within 1 s.

Change: owners that the group names get every message, first. The others begin with a different one each time. Long messages are sent in bursts of 16 KiB with pauses of 10 ms.

Cost: a message to all takes up to 250 ms. The messages themselves are the same.

Two new tests of serving/tests/peers.rs fail without it.

--- a/serving/src/batch/group.rs
+++ b/serving/src/batch/group.rs
@@ -142,9 +142,13 @@
     }
 
     /// Renews the membership and runs the owners of assigned partitions until `leave` is called.
-    /// Calls `on_member` with the addresses of other members. `silence` returns the time since the
+    /// Calls `on_owners` with the addresses of the other nodes that own partitions. `silence` returns the time since the
     /// last message from another node, or `None` while none is known.
-    pub async fn run(&self, on_member: impl Fn(SocketAddr), silence: impl Fn() -> Option<Millis>) {
+    pub async fn run(
+        &self,
+        on_owners: impl Fn(BTreeSet<SocketAddr>),
+        silence: impl Fn() -> Option<Millis>,
+    ) {
         let settings = &self.dependencies.settings;
         let mut round = 0;
         let mut is_out = false;
@@ -197,7 +201,7 @@
                 }
             }
             if round % OWNER_REFRESH_RENEWALS == 0 {
-                self.refresh_owners(&on_member).await;
+                self.refresh_owners(&on_owners).await;
             }
             round += 1;
             sleep(Millis(settings.renewal_ms).duration()).await;
@@ -353,7 +357,7 @@
     }
 
     /// Looks up the owners of all partitions in the group, to find nodes not yet in contact.
-    async fn refresh_owners(&self, on_member: &impl Fn(SocketAddr)) {
+    async fn refresh_owners(&self, on_owners: &impl Fn(BTreeSet<SocketAddr>)) {
         let owners = match self.dependencies.store.owners(GROUP, TOPIC).await {
             Ok(owners) => owners,
             Err(error) => {
@@ -361,6 +365,7 @@
                 return;
             }
         };
+        let mut addresses = BTreeSet::new();
         for (number, member) in owners {
             if member == self.member {
                 continue;
@@ -370,9 +375,10 @@
                 log::warn!(member = member.as_str(); "ignored a group member whose name holds no address");
                 continue;
             };
-            on_member(address);
+            addresses.insert(address);
             self.directory.add_owner(number, address);
         }
+        on_owners(addresses);
     }
 }
 
--- a/serving/src/peers/state.rs
+++ b/serving/src/peers/state.rs
@@ -17,6 +17,9 @@
 
 /// Number of collectors of a data centre; the loss of one costs nothing.
 const COLLECTOR_COUNT: usize = 2;
+/// Number of places by which the first recipient moves from one message to the next. It shares no factor
+/// with most numbers of peers, so that each peer is among the first ones soon.
+const RECIPIENT_STRIDE: usize = 97;
 
 #[derive(Clone, Debug)]
 struct Peer {
@@ -71,6 +74,11 @@
     /// When this node, as an owner of partitions, last sent a message to all peers of a large
     /// fleet.
     last_announced: Option<Millis>,
+    /// Peers that the group names as owners of partitions. Their own messages may not have arrived
+    /// yet, or from before they owned any.
+    named_owners: BTreeSet<SocketAddr>,
+    /// Position of the first recipient of the next message among those that own no partitions.
+    next_first: usize,
 }
 
 impl State {
@@ -88,6 +96,8 @@
             next_introduction: 0,
             last_received: None,
             last_announced: None,
+            named_owners: BTreeSet::new(),
+            next_first: 0,
         }
     }
 
@@ -113,20 +123,33 @@
     /// the owners of partitions, which need the loads of all nodes, and the peers that follow this
     /// node by 1, 2, 4, … places in the order of addresses, through which gossip reaches the whole
     /// fleet in a few rounds.
+    ///
+    /// The owners come first. The others begin with a different one each time, because a link that is
+    /// full drops the last ones.
     fn recipients(&self, is_announcement: bool) -> Vec<SocketAddr> {
         let all: Vec<SocketAddr> = self.addresses().collect();
+        let is_owner = |(address, peer): &(&SocketAddr, &Peer)| {
+            peer.is_owner || self.named_owners.contains(address)
+        };
+        let owners: BTreeSet<SocketAddr> =
+            self.peers.iter().filter(is_owner).map(|(address, _)| *address).collect();
+        let mut others = BTreeSet::new();
         if is_announcement || !self.is_large() {
-            return all;
+            others.extend(all.iter().copied());
+        } else {
+            let next = all.partition_point(|address| *address < self.own_address);
+            let mut step = 1;
+            while step <= all.len() {
+                others.insert(all[(next + step - 1) % all.len()]);
+                step *= 2;
+            }
         }
-        let owners = self.peers.iter().filter(|(_, peer)| peer.is_owner);
-        let mut recipients: BTreeSet<SocketAddr> = owners.map(|(address, _)| *address).collect();
-        let next = all.partition_point(|address| *address < self.own_address);
-        let mut step = 1;
-        while step <= all.len() {
-            recipients.insert(all[(next + step - 1) % all.len()]);
-            step *= 2;
+        let mut others: Vec<SocketAddr> = others.difference(&owners).copied().collect();
+        if !others.is_empty() {
+            let first = self.next_first % others.len();
+            others.rotate_left(first);
         }
-        recipients.into_iter().collect()
+        owners.into_iter().chain(others).collect()
     }
 
     /// Returns up to `max_count` peers for the next message to introduce. Only peers from which
@@ -146,6 +169,7 @@
     /// this node owns partitions.
     pub fn start_round(&mut self, now: Millis, is_owner: bool) -> Round {
         self.last_sent = Some(now);
+        self.next_first = self.next_first.wrapping_add(RECIPIENT_STRIDE);
         let is_announcement = self.is_announcement_due(now, is_owner);
         let max_introductions = match is_announcement {
             true => self.settings.announced,
@@ -174,6 +198,15 @@
         }
     }
 
+    /// Records which nodes the group names as owners of partitions, in place of those that it named
+    /// before.
+    pub fn name_owners(&mut self, now: Millis, owners: BTreeSet<SocketAddr>) {
+        for address in &owners {
+            self.discover(now, *address);
+        }
+        self.named_owners = owners;
+    }
+
     /// Updates the peers from a message. Returns `false`, without any change, for messages of this
     /// node itself and for those that are not newer than the latest one of their sender.
     pub fn handle_message(&mut self, now: Millis, message: &Message) -> bool {
--- a/serving/src/peers/task.rs
+++ b/serving/src/peers/task.rs
@@ -27,6 +27,11 @@
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 /// Limit of suspects in one message; each takes some 50 bytes.
 const MAX_SUSPECTS: usize = 12;
+/// Bytes that are sent at once. A message to all peers of a large fleet is longer than a link of 30 Mbit/s
+/// queues, and what doesn't fit is dropped.
+const MAX_BURST_BYTES: usize = 16 << 10;
+/// Pause after that many bytes, which such a link sends in less time.
+const BURST_PAUSE: Millis = Millis(10);
 /// Interval at which the state of this node is checked for changes.
 const POLL_INTERVAL: Millis = Millis(10);
 
@@ -161,7 +166,13 @@
             return;
         }
     };
+    let mut sent_bytes = 0;
     for address in recipients {
+        if sent_bytes >= MAX_BURST_BYTES {
+            sleep(BURST_PAUSE.duration()).await;
+            sent_bytes = 0;
+        }
+        sent_bytes += bytes.len();
         if let Err(error) = socket.send_to(&bytes, address).await {
             log::debug!(peer:% = address, error:% = error; "failed to send gossip message to peer");
         }
--- a/serving/tests/peers.rs
+++ b/serving/tests/peers.rs
@@ -251,6 +251,46 @@
     assert_eq!(state.start_round(Millis(settings.announce_ms), true).recipients.len(), 199);
 }
 
+/// Guards against owners that never hear of each other after all nodes were restarted: each knows the
+/// other from the group only, and a full link drops the last of the messages to all peers.
+#[test]
+fn owners_named_by_the_group_are_sent_every_message_first() {
+    let mut state = state();
+    for index in 2..=200 {
+        state.discover(Millis(0), address(index));
+    }
+    let named = BTreeSet::from([address(150), address(200), address(201)]);
+    state.name_owners(Millis(0), named.clone());
+    let first_three = |recipients: Vec<SocketAddr>| -> BTreeSet<SocketAddr> {
+        recipients.into_iter().take(3).collect()
+    };
+    assert_eq!(first_three(state.start_round(Millis(0), true).recipients), named);
+    // The message is from before the node owned a partition.
+    state.handle_message(Millis(5), &Message { address: address(200), ..message(2, 1, 1) });
+    assert_eq!(first_three(state.start_round(Millis(10), true).recipients), named);
+    state.name_owners(Millis(20), BTreeSet::from([address(150)]));
+    assert!(!state.start_round(Millis(20), false).recipients.contains(&address(201)));
+}
+
+/// Guards against peers that are always the last ones of a message to all peers, which a full link
+/// drops: half of each announcement reaches every peer within a few of them.
+#[test]
+fn announcements_begin_with_other_peers_each_time() {
+    let mut state = state();
+    let all: BTreeSet<SocketAddr> = (2..=200).map(address).collect();
+    for address in &all {
+        state.discover(Millis(0), *address);
+    }
+    let announce_ms = Settings::default().announce_ms;
+    let mut reached = BTreeSet::new();
+    for round in 0..4 {
+        let recipients = state.start_round(Millis(round * announce_ms), true).recipients;
+        assert_eq!(recipients.iter().copied().collect::<BTreeSet<_>>(), all);
+        reached.extend(recipients.into_iter().take(100));
+    }
+    assert_eq!(reached, all);
+}
+
 #[test]
 fn messages_in_a_small_fleet_reach_all_peers() {
     let mut state = state();
