fix(intake): bound the connections and bodies that clients can make a node hold

Callers saw, in a trial of the users: clients that send many bodies and stop just short of their end, heads and empty lines without an end, or very small chunks ended a process by its memory. Silent connections took all descriptors.

Cause: every limit was one of a single request or connection. Bodies were collected without a common limit, each tiny chunk kept a read buffer alive, a head could have 400 KB, and no port ever refused a connection.

Change: connections and bodies at all ports have shares of the machine's memory and descriptors, which the platform's settings file states. Memory is reserved before bytes are kept, also for parsed jobs and for answers until they are sent. A request that is alone is served whatever its legal size.

An older node beside a newer one has no bounds.

--- a/serving/src/lib.rs
+++ b/serving/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod fleet;
 pub mod forward;
 pub mod id;
+pub mod intake;
 pub mod log_store;
 pub mod metrics;
 pub mod node;
--- a/serving/src/metrics.rs
+++ b/serving/src/metrics.rs
@@ -83,6 +83,9 @@
     pub time_ratio: Histogram,
     /// Requests from callers that have not ended.
     pub in_flight: Gauge,
+    /// Connections and bodies that were refused, and connections that were closed to make room, by
+    /// kind of listener and reason.
+    pub intake: Family<Labels, Counter>,
     /// Sends to other data centres by data centre and reason.
     pub departures: Family<DepartureLabels, Counter>,
     /// Bytes of bodies that sends to other data centres carried in both directions, by data centre
@@ -174,6 +177,12 @@
         );
         let in_flight = Gauge::default();
         registry.register("in_flight", "Requests in flight", in_flight.clone());
+        let intake = Family::default();
+        registry.register(
+            "intake",
+            "Connections refused or closed to stay within the limits of the machine",
+            intake.clone(),
+        );
         let departures = Family::default();
         registry.register(
             "departures",
@@ -206,6 +215,7 @@
             stated_pace,
             time_ratio,
             in_flight,
+            intake,
             departures,
             departure_bytes,
         }
