fix(batch): accept no more jobs than the memory of a node holds

Found with the crowds of clients that don't behave: 128 accepted jobs of 2.8 MB took their owners to 168 MB on machines with 88 MB. A quota counts tokens, and callers may state none.

Cause: an owner keeps the items and results of its jobs for as long as they can be read, without a limit.

Change: the owners of a node add up what they hold. Jobs that a node takes over are kept in any case.

--- a/serving/src/batch/group.rs
+++ b/serving/src/batch/group.rs
@@ -25,6 +25,7 @@
     coordinator,
     directory::{Directory, LocalOwner, Location, partition_of},
     ledger::Ledger,
+    memory::Memory,
     owner::{self, Dependencies, Page, Unavailable},
     quota::Report,
 };
@@ -104,7 +105,8 @@
             directory: Arc::clone(&directory),
             peers,
         };
-        let dependencies = Dependencies { context, catalog, store, settings, coordinator };
+        let memory = Memory::new(settings.memory_bytes);
+        let dependencies = Dependencies { context, catalog, store, settings, coordinator, memory };
         let member = format!("{address}/{incarnation:x}");
         Group { dependencies, directory, member, budget: Mutex::default() }
     }
--- a/serving/src/batch/ledger/job.rs
+++ b/serving/src/batch/ledger/job.rs
@@ -86,6 +86,8 @@
     pub(super) items: Vec<TrackedItem>,
     /// Tokens of all items without a result, running ones included.
     pub waiting_tokens: u64,
+    /// Memory of the items and of all results so far, in bytes.
+    memory_bytes: usize,
 }
 
 impl Job {
@@ -102,7 +104,7 @@
             unstorable: Vec::new(),
         };
         let items = vec![tracked; head.items.len()];
-        let waiting_tokens = head.tokens();
+        let (waiting_tokens, memory_bytes) = (head.tokens(), head.memory_bytes());
         Job {
             head,
             results: Vec::new(),
@@ -113,9 +115,15 @@
             due,
             items,
             waiting_tokens,
+            memory_bytes,
         }
     }
 
+    /// Memory that the job takes up, in bytes. Until its records are written, they take up as much again.
+    pub fn memory_bytes(&self) -> usize {
+        if self.durable { self.memory_bytes } else { 2 * self.memory_bytes }
+    }
+
     /// Whether every item has a result.
     pub fn is_complete(&self) -> bool {
         self.results.len() == self.items.len()
@@ -152,6 +160,7 @@
         }
         tracked.stage = Stage::Done;
         self.waiting_tokens = self.waiting_tokens.saturating_sub(self.head.items[index].tokens);
+        self.memory_bytes += outcome.output.len();
         self.results.push(outcome);
         Some(self.results.len() as u32 - 1)
     }
--- a/serving/src/batch/ledger/mod.rs
+++ b/serving/src/batch/ledger/mod.rs
@@ -131,6 +131,11 @@
         tokens.fold(0, u64::saturating_add)
     }
 
+    /// Memory that all jobs take up, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        self.jobs.values().map(Job::memory_bytes).sum()
+    }
+
     /// Marks a job as durable and makes its items ready to run.
     pub fn confirm_job(&mut self, id: &JobId) {
         if let Some(job) = self.jobs.get_mut(id) {
--- a/serving/src/batch/mod.rs
+++ b/serving/src/batch/mod.rs
@@ -9,6 +9,7 @@
 //! * `run` runs one item at an upstream.
 //! * `quota` counts the waiting tokens of all partitions and grants reservations; `coordinator`
 //!   requests them.
+//! * `memory` bounds the memory that the jobs of a node take up.
 //! * `budget` limits reads of partitions that a node doesn't own.
 //! * `directory` maps partitions to their owners.
 //! * `group` joins the consumer group, which assigns partitions, and starts and stops owners.
@@ -18,6 +19,7 @@
 mod directory;
 mod group;
 pub mod ledger;
+pub mod memory;
 pub mod order;
 mod owner;
 pub mod quota;
--- a/serving/src/batch/owner/calls.rs
+++ b/serving/src/batch/owner/calls.rs
@@ -101,6 +101,17 @@
             let _ = reply.send(Err(Unavailable::NotAccepted));
             return;
         };
+        let bytes = head.memory_bytes();
+        let submitted = self.submitted.values().map(|submission| submission.head.memory_bytes());
+        self.memory.set(self.ledger.memory_bytes() + submitted.sum::<usize>());
+        // The records take up as much again until they are written.
+        if !self.memory.has_room(2 * bytes) {
+            let metrics = &self.dependencies.context.metrics;
+            metrics.count(&metrics.intake, "jobs", "refused");
+            log::info!(job = id.0.as_str(), bytes = bytes, max_bytes = self.dependencies.settings.memory_bytes, outcome = "no memory"; "job submitted");
+            let _ = reply.send(Err(Unavailable::NotAccepted));
+            return;
+        }
         let tokens = head.tokens();
         let workspace = head.workspace.clone();
         let reservation = Reservation { job: id.clone(), route: route.id.clone(), tokens };
--- a/serving/src/batch/owner/items.rs
+++ b/serving/src/batch/owner/items.rs
@@ -78,6 +78,7 @@
     /// Starts those items that are among the most urgent ones of all owners, as far as upstreams
     /// have free slots, and reports the items that still wait.
     pub(super) fn schedule(&mut self) {
+        self.memory.set(self.ledger.memory_bytes());
         let mut services: BTreeMap<Service, Vec<WaitingItem>> = BTreeMap::new();
         let mut capacities = Capacities::default();
         for entry in self.sorted_waiting() {
--- a/serving/src/batch/owner/mod.rs
+++ b/serving/src/batch/owner/mod.rs
@@ -33,6 +33,7 @@
 use super::{
     Settings, coordinator,
     ledger::{ItemId, Job, Ledger, Progress},
+    memory::{Memory, Part},
     order::{self, Forecast},
     quota::{Decision, Report},
     record::Head,
@@ -67,6 +68,7 @@
     pub(super) store: log_store::Handle,
     pub(super) settings: Settings,
     pub(super) coordinator: coordinator::Client,
+    pub(super) memory: Arc<Memory>,
 }
 
 /// Starts the owner of a partition as a task. The owner stops when a later owner fences it, when it
@@ -94,6 +96,8 @@
     is_lapsed: bool,
     producer: Producer,
     ledger: Ledger,
+    /// Memory of the jobs of this owner.
+    memory: Part,
     /// Writes that wait for an append.
     writes: VecDeque<Write>,
     /// Number of the first writes that are appended one by one.
@@ -182,7 +186,10 @@
             "partition claimed"
         );
         let (progress_tx, progress_rx) = mpsc::channel(PROGRESS_QUEUE);
+        let mut memory = dependencies.memory.part();
+        memory.set(ledger.memory_bytes());
         Some(Owner {
+            memory,
             dependencies,
             partition,
             tenure,
--- a/serving/src/batch/record.rs
+++ b/serving/src/batch/record.rs
@@ -49,8 +49,24 @@
     pub(crate) fn tokens(&self) -> u64 {
         self.items.iter().map(|item| item.tokens).fold(0, u64::saturating_add)
     }
+
+    /// Memory that the items take up, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let of_header =
+            |(name, value): (&String, &String)| name.len() + value.len() + HEADER_OVERHEAD_BYTES;
+        let of_item = |item: &Item| {
+            let headers: usize = item.headers.iter().map(of_header).sum();
+            item.id.len() + item.path.len() + headers + item.body.len() + ITEM_OVERHEAD_BYTES
+        };
+        self.items.iter().map(of_item).sum()
+    }
 }
 
+/// Memory that a header of an item takes up beside its text, in bytes.
+const HEADER_OVERHEAD_BYTES: usize = 128;
+/// Memory that an item takes up beside its text, with its state in the ledger, in bytes.
+const ITEM_OVERHEAD_BYTES: usize = 512;
+
 /// One request of a job, sent to an upstream with POST.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Item {
--- a/serving/src/batch/settings.rs
+++ b/serving/src/batch/settings.rs
@@ -40,6 +40,9 @@
     pub save_events: u64,
     /// Retention of results in milliseconds after submission.
     pub keep_ms: u64,
+    /// Bytes of the items and results of all jobs that a node holds, above which its owners accept no more
+    /// jobs.
+    pub memory_bytes: usize,
 }
 
 impl Default for Settings {
@@ -59,6 +62,7 @@
             silence_ms: 1_500,
             save_events: 40,
             keep_ms: 150_000,
+            memory_bytes: 64 << 20,
         }
     }
 }
