fix(batch): let a new coordinator wait until reports include earlier grants

A coordinator that has just taken over granted up to a whole quota again, because up to 800 ms of the grants of the one before are in no report yet. The test was known red.

Change: the hold is back. Meanwhile owners accept jobs within their shares, so little is refused. The right to decide still follows from the assignment alone.

Cost: no record and no call; beyond the shares, 503 for 800 ms after the coordinator has changed.

--- a/serving/src/batch/owner/calls.rs
+++ b/serving/src/batch/owner/calls.rs
@@ -223,7 +223,7 @@
         directory.confirm_own_reports(now);
         let Reservation { job, route, tokens } = reservation;
         let mut quota = directory.quota();
-        let decision = quota.reserve(now, job, route, *tokens, limit);
+        let decision = quota.reserve(now, self.claimed_at, job, route, *tokens, limit);
         let unreported = quota.unreported();
         drop(quota);
         if unreported != self.unreported {
--- a/serving/src/batch/owner/mod.rs
+++ b/serving/src/batch/owner/mod.rs
@@ -92,6 +92,8 @@
     dependencies: Dependencies,
     partition: Partition,
     tenure: Tenure,
+    /// When the partition was claimed.
+    claimed_at: Millis,
     /// Whether the tenure had lapsed when items were last to start.
     is_lapsed: bool,
     producer: Producer,
@@ -158,6 +160,7 @@
                 }
             }
         }
+        let claimed_at = dependencies.context.clock.now();
         let snapshot = loop {
             match dependencies.store.read_latest(&partition).await {
                 Ok(snapshot) if snapshot.is_complete => break snapshot,
@@ -193,6 +196,7 @@
             dependencies,
             partition,
             tenure,
+            claimed_at,
             is_lapsed: false,
             producer: Producer { sequence: 1, ..producer },
             ledger,
--- a/serving/src/batch/quota.rs
+++ b/serving/src/batch/quota.rs
@@ -3,7 +3,8 @@
 //! Each owner reports the tokens of its partition, and nodes exchange the reports. The quota of a
 //! route is coordinated by one owner, that of the partition for the route's id. It grants
 //! reservations to new jobs. A grant counts against the quota for as long as reports may lack
-//! the granted job. While the coordinator can't decide, each owner accepts jobs by itself up to a small
+//! the granted job. A new coordinator grants nothing while reports may lack what an earlier one has
+//! granted. While the coordinator can't decide, each owner accepts jobs by itself up to a small
 //! share, so that all together stay within the part by which the quota may be exceeded.
 
 use std::collections::BTreeMap;
@@ -52,7 +53,8 @@
     Granted,
     /// The reservation would exceed the quota.
     OverQuota,
-    /// Not decidable: some partition has not reported yet.
+    /// Not decidable: some partition has not reported yet, or an earlier coordinator may have granted
+    /// what no report includes yet.
     Unknown,
 }
 
@@ -130,16 +132,18 @@
     }
 
     /// Decides on the reservation of a job's tokens: reported and granted tokens of the route must
-    /// not exceed `limit`. A repeated request for the same job replaces its earlier grant.
+    /// not exceed `limit`. A repeated request for the same job replaces its earlier grant. `since` is
+    /// when the owner that decides claimed the partition for the quota.
     pub fn reserve(
         &mut self,
         now: Millis,
+        since: Millis,
         job: &Job,
         route: &Route,
         tokens: u64,
         limit: u64,
     ) -> Decision {
-        if self.reports.len() < usize::from(self.partitions) {
+        if self.reports.len() < usize::from(self.partitions) || now < since + GRANT_HOLD {
             return Decision::Unknown;
         }
         // The time alone doesn't count: this node may have stood still, or missed reports.
--- a/serving/tests/malformed.rs
+++ b/serving/tests/malformed.rs
@@ -195,7 +195,7 @@
         let item = ItemId { job: "job".into(), index: 0 };
         let waiting = vec![WaitingItem { urgency, remaining: Millis(5), item }; 2];
         schedule::count_starts(&waiting, 8, |urgency| self.quota.count_ahead(0, &service, urgency));
-        self.quota.reserve(now, &"job".into(), &"route".into(), 10, 1_000);
+        self.quota.reserve(now, Millis(0), &"job".into(), &"route".into(), 10, 1_000);
         self.quarantine.most_crashes(now, 12);
         self.parts.take_report(now);
         self.parts.remaining_block(now, &Prompt::new([Part(1), Part(2)]));
--- a/serving/tests/quota.rs
+++ b/serving/tests/quota.rs
@@ -17,7 +17,7 @@
 
 const PARTITIONS: u16 = 3;
 const LIMIT: u64 = 1_000;
-/// When the first reservation is requested.
+/// Time after which a coordinator knows what an earlier one has granted.
 const SETTLED: Millis = Millis(800);
 
 fn config() -> Config {
@@ -41,7 +41,7 @@
 }
 
 fn reserve(state: &mut State, now: u64, job: &str, tokens: u64) -> Decision {
-    state.reserve(SETTLED + Millis(now), &Job::from(job), &route(), tokens, LIMIT)
+    state.reserve(SETTLED + Millis(now), Millis(0), &Job::from(job), &route(), tokens, LIMIT)
 }
 
 #[test]
@@ -104,7 +104,19 @@
     let mut earlier = state_with_reports([0, 0, 0]);
     assert_eq!(reserve(&mut earlier, 0, "a", 600), Decision::Granted);
     let mut later = state_with_reports([0, 0, 0]);
-    assert_ne!(reserve(&mut later, 50, "b", 600), Decision::Granted);
+    let claimed_at = SETTLED + Millis(50);
+    let mut reserve_at = |after: u64| {
+        let now = claimed_at + Millis(after);
+        later.reserve(now, claimed_at, &Job::from("b"), &route(), 600, LIMIT)
+    };
+    assert_eq!(reserve_at(1), Decision::Unknown);
+    assert_eq!(reserve_at(799), Decision::Unknown);
+    assert_eq!(reserve_at(800), Decision::Granted, "the reports lack job a");
+    let number = partition_for("a", PARTITIONS);
+    later.apply_report(claimed_at + Millis(700), number, report(1, 600));
+    let decision =
+        later.reserve(claimed_at + SETTLED, claimed_at, &Job::from("c"), &route(), 600, LIMIT);
+    assert_eq!(decision, Decision::OverQuota);
 }
 
 #[test]
