fix(intake): give memory back to the node and to its connection in one step

Found while reading: between the two, another connection could take a body for one that is alone, which may be longer than the share.

--- a/serving/src/intake/gate.rs
+++ b/serving/src/intake/gate.rs
@@ -217,8 +217,10 @@
     }
 
     fn release(&self, entry: &Entry, bytes: usize) {
-        self.lock().body_bytes -= bytes;
+        let mut table = self.lock();
+        table.body_bytes -= bytes;
         entry.body_bytes.fetch_sub(bytes, Ordering::Relaxed);
+        drop(table);
         self.freed.notify_waiters();
     }
 
