test(bulrushctl): hold the port of the node that doesn't listen

Cause: the test takes a free port, gives it back and then expects that nobody listens there. A reset instead of a refusal shows that another process had taken the port and accepted the connection: review cases and other tests ran at the same time, which bind to free ports of 127.0.0.1.

Change: the port stays bound, without a listener, until the tool has tried it.

--- a/bulrushctl/tests/command_line.rs
+++ b/bulrushctl/tests/command_line.rs
@@ -85,9 +85,10 @@
 
 #[test]
 fn a_node_that_does_not_listen_is_named() {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let address = listener.local_addr().expect("an address").to_string();
-    drop(listener);
+    // Holds the port without listening, so that no other process gets it meanwhile.
+    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+    socket.bind(([127, 0, 0, 1], 0).into()).expect("a free port");
+    let address = socket.local_addr().expect("an address").to_string();
     let text = failure(&["--server", &address, "health"]).replace(&address, "ADDRESS");
     insta::assert_snapshot!(text);
 }
