fix(intake): pass on no request from a connection that is about to close

Found while reading: a connection that is closed to make room may complete a request at the same moment. The request could be passed on, and its caller got a closed connection.

--- a/serving/src/intake/body.rs
+++ b/serving/src/intake/body.rs
@@ -97,6 +97,10 @@
         bytes.extend_from_slice(&data);
         connection.record_body(data.len());
     }
+    // A request that has just arrived must not be passed on from a connection that is about to close.
+    if connection.is_closing() {
+        return Err(Error::Closed);
+    }
     if bytes.is_empty() {
         return Ok(Bytes::new());
     }
