--- a/serving/src/batch/group.rs
+++ b/serving/src/batch/group.rs
@@ -144,8 +144,8 @@
     }
 
     /// Renews the membership and runs the owners of assigned partitions until `leave` is called.
-    /// Calls `on_owners` with the addresses of the other nodes that own partitions. `silence` returns the time since the
-    /// last message from another node, or `None` while none is known.
+    /// Calls `on_owners` with the addresses of the other nodes that own partitions. `silence` returns
+    /// the time since the last message from another node, or `None` while none is known.
     pub async fn run(
         &self,
         on_owners: impl Fn(BTreeSet<SocketAddr>),
--- a/serving/src/intake/victim.rs
+++ b/serving/src/intake/victim.rs
@@ -27,7 +27,7 @@
     pub stage: Stage,
     /// Time since the connection last made progress.
     pub idle: Millis,
-    /// An earlier request of the connection was answered.
+    /// The connection has carried a whole request.
     pub has_served: bool,
     /// Bytes of the body that it holds.
     pub body_bytes: usize,
@@ -41,8 +41,8 @@
 }
 
 /// Returns the position of the connection to close: of those that make no progress the one that has made
-/// none for the longest time. Connections on which requests were answered are kept longer than those that
-/// have never completed one. `None` if all make progress, or wait for the node.
+/// none for the longest time. Connections that have carried a whole request are kept longer than those that
+/// never have. `None` if all make progress, or wait for the node.
 pub fn select(need: Need, candidates: impl Iterator<Item = Candidate>) -> Option<usize> {
     let may_close = |candidate: &Candidate| {
         let is_waiting = candidate.stage != Stage::Answer;
