test(review): case 15, a request crashes more upstreams after each loss of all nodes (BUDGET)

Suspects are kept in memory and in gossip only. After each loss of all nodes the request crashes two more upstreams.

--- a/review/stage-3/src/engine.rs
+++ b/review/stage-3/src/engine.rs
@@ -14,6 +14,9 @@
 
 use crate::http;
 
+/// The body of a request that crashes the servers that run it.
+pub const POISON: &[u8] = b"poison";
+
 /// A request that the server has run.
 #[derive(Clone, Debug)]
 pub struct Run {
@@ -121,6 +124,11 @@
                 }
                 continue;
             }
+            if request.body == POISON {
+                let run = Run { id, at: Instant::now(), after: 0 };
+                self.runs.lock().expect("no panic").push(run);
+                return self.crash();
+            }
             let after = request.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
             let run = Run { id: id.clone(), at: Instant::now(), after };
             self.runs.lock().expect("no panic").push(run);
--- a/review/stage-3/src/main.rs
+++ b/review/stage-3/src/main.rs
@@ -1,6 +1,7 @@
 //! Drives the cases 11 to 15. Exits with 1 if the rule was broken, 0 if it held and 2 if the case couldn't
 //! run.
 
+mod crashes;
 mod engine;
 mod http;
 mod lender;
@@ -22,6 +23,7 @@
     };
     let (record, folder) = (Path::new(record), Path::new(folder));
     let result = match case.as_str() {
+        "crashes" => crashes::run(record, folder, is_troubled),
         "lender" => lender::run(record, folder, is_troubled, Trouble::Cut),
         "rotation" => lender::run(record, folder, is_troubled, Trouble::Rotation),
         "versions" => versions::run(record, folder, is_troubled),
