test(review): drop the case that review/4 shows, allow two joined streams

Two nodes that lend the limit of one workspace (QUOTA) are shown by the earlier review/4, so review/13 goes, and with it the link of the stand-ins that can be cut. The cases move to their final numbers: joined answers (ORDER) are review/12, the refused job that runs (REFUSED) review/13, the burst that is lent twice (QUOTA) review/14, the request that crashes upstreams (BUDGET) review/15.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -4,4 +4,4 @@
 cd "$here/../.." || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-target/review-3/release/stage-3 lender "$here/record.txt" "$folder"
+target/review-3/release/stage-3 refused "$here/record.txt" "$folder"
--- a/review/stage-3/src/crashes.rs
+++ b/review/stage-3/src/crashes.rs
@@ -14,7 +14,7 @@
 use crate::{
     engine::{Engine, Kind, POISON},
     http::Client,
-    log::{Link, Log},
+    log::Log,
     node::{addresses, Node},
 };
 
@@ -113,7 +113,7 @@
     let ips = addresses(NODES);
     let mut stores = Vec::new();
     for _ in 0..NODES {
-        stores.push(log.serve(Arc::new(Link::default())).map_err(fail)?);
+        stores.push(log.serve().map_err(fail)?);
     }
     let start_all = || -> Result<Vec<Node>, String> {
         let mut nodes = Vec::new();
--- a/review/stage-3/src/main.rs
+++ b/review/stage-3/src/main.rs
@@ -4,16 +4,14 @@
 mod crashes;
 mod engine;
 mod http;
-mod lender;
 mod log;
 mod node;
 mod refused;
+mod rotation;
 mod versions;
 
 use std::{path::Path, process::ExitCode};
 
-use lender::Trouble;
-
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().collect();
     let is_troubled = std::env::var("TROUBLE").map_or(true, |value| value != "0");
@@ -24,8 +22,7 @@
     let (record, folder) = (Path::new(record), Path::new(folder));
     let result = match case.as_str() {
         "crashes" => crashes::run(record, folder, is_troubled),
-        "lender" => lender::run(record, folder, is_troubled, Trouble::Cut),
-        "rotation" => lender::run(record, folder, is_troubled, Trouble::Rotation),
+        "rotation" => rotation::run(record, folder, is_troubled),
         "versions" => versions::run(record, folder, is_troubled),
         "refused" => refused::run(record, folder, is_troubled),
         _ => Err(format!("unknown case {case}")),
--- a/review/stage-3/src/refused.rs
+++ b/review/stage-3/src/refused.rs
@@ -15,7 +15,7 @@
 use crate::{
     engine::{Engine, Kind},
     http::Client,
-    log::{base64, Link, Log},
+    log::{base64, Log},
     node::{addresses, Node},
 };
 
@@ -105,7 +105,7 @@
     };
     let mut nodes = Vec::new();
     for (index, ip) in addresses(NODES).into_iter().enumerate() {
-        let store = log.serve(Arc::new(Link::default())).map_err(fail)?;
+        let store = log.serve().map_err(fail)?;
         let name = format!("front-ljubljana-a-{}", index + 1);
         nodes.push(Node::start(&name, ip, store, folder, BOUNDS).map_err(fail)?);
     }
--- a/review/stage-3/src/lender.rs
+++ b/review/stage-3/src/rotation.rs
@@ -1,5 +1,5 @@
-//! Two nodes that both hold the limit of one tenant: the platform reassigns all partitions at once while the
-//! owner is cut off from the platform's store.
+//! The only key of a tenant that sends above its limit is taken away, and the next configuration brings another
+//! one: the tenant's burst is lent a second time.
 
 use std::{
     collections::BTreeMap,
@@ -16,7 +16,7 @@
 use crate::{
     engine::{Engine, Kind},
     http::Client,
-    log::{Link, Log},
+    log::Log,
     node::{addresses, Node},
 };
 
@@ -28,6 +28,7 @@
 /// The tenant and the partition that its name falls into, of 12.
 const TENANT: (&str, u16) = ("heron", 5);
 const RATE_PER_S: f64 = 60.0;
+const BURST: f64 = 120.0;
 /// `quota_window_s`, `quota_over` and `quota_slack`, as on the sheet of the deployment.
 const WINDOW: Duration = Duration::from_secs(5);
 const OVER: f64 = 0.1;
@@ -43,29 +44,10 @@
 /// Threads of callers at each node.
 const CALLERS: usize = 30;
 const HOT: Duration = Duration::from_millis(6_500);
-const CUT: Duration = Duration::from_millis(5_500);
 /// When the key is taken away, and how long after that the next version comes.
 const TAKEN_AFTER: Duration = Duration::from_millis(900);
 const VERSIONS_APART: Duration = Duration::from_millis(500);
 
-/// What happens as the tenant turns hot.
-#[derive(Clone, Copy, PartialEq)]
-pub enum Trouble {
-    /// The owner is cut off from the store, and the store reassigns all partitions at once.
-    Cut,
-    /// The operator takes the tenant's key away, and gives it another one in the next version.
-    Rotation,
-}
-
-impl Trouble {
-    fn burst(self) -> f64 {
-        match self {
-            Trouble::Cut => 60.0,
-            Trouble::Rotation => 120.0,
-        }
-    }
-}
-
 struct Sent {
     id: String,
     node: usize,
@@ -73,12 +55,7 @@
     status: u16,
 }
 
-pub fn run(
-    record: &Path,
-    folder: &Path,
-    is_troubled: bool,
-    trouble: Trouble,
-) -> Result<bool, String> {
+pub fn run(record: &Path, folder: &Path, is_troubled: bool) -> Result<bool, String> {
     let key: Arc<Mutex<&'static str>> = Arc::new(Mutex::new(KEYS[0]));
     let fail = |error: std::io::Error| error.to_string();
     let log = Log::new(12);
@@ -91,7 +68,7 @@
     for engine in &engines {
         log.put("keyed.servers", &engine.id, &engine.entry("huvo11a", SLOTS, 1));
     }
-    log.put("keyed.op", "config", &configuration(7, trouble, &[KEYS[0]]));
+    log.put("keyed.op", "config", &configuration(7, &[KEYS[0]]));
     let is_over = Arc::new(AtomicBool::new(false));
     let heartbeats = {
         let (log, engines, is_over) = (Arc::clone(&log), engines.clone(), Arc::clone(&is_over));
@@ -107,13 +84,11 @@
             }
         })
     };
-    let (mut nodes, mut links) = (Vec::new(), Vec::new());
+    let mut nodes = Vec::new();
     for (index, ip) in addresses(NODES).into_iter().enumerate() {
-        let link = Arc::new(Link::default());
-        let store = log.serve(Arc::clone(&link)).map_err(fail)?;
+        let store = log.serve().map_err(fail)?;
         let name = format!("front-sul-br-a-{}", index + 1);
         nodes.push(Node::start(&name, ip, store, folder, BOUNDS).map_err(fail)?);
-        links.push(link);
     }
     for node in &nodes {
         if !node.wait_ready(Duration::from_secs(15)) {
@@ -141,24 +116,15 @@
     }
 
     let owner = log.owner("jobs", TENANT.1).ok_or("the partition has no owner")?;
-    let cut = nodes.iter().position(|node| owner.starts_with(&format!("{}:", node.ip)));
-    let cut = cut.ok_or("the owner is no known node")?;
     let started = Instant::now();
-    if is_troubled && trouble == Trouble::Cut {
-        links[cut].cut(true);
-        log.deal_anew("jobs");
-    }
-    let successor = log.owner("jobs", TENANT.1).unwrap_or_default();
     let hot = callers(&nodes, &sent, &key, HOT_PER_S, CALLERS, HOT);
-    if is_troubled && trouble == Trouble::Rotation {
+    if is_troubled {
         thread::sleep(TAKEN_AFTER.saturating_sub(started.elapsed()));
-        log.put("keyed.op", "config", &configuration(8, trouble, &[]));
+        log.put("keyed.op", "config", &configuration(8, &[]));
         thread::sleep(VERSIONS_APART);
-        log.put("keyed.op", "config", &configuration(9, trouble, &[KEYS[1]]));
+        log.put("keyed.op", "config", &configuration(9, &[KEYS[1]]));
         *key.lock().expect("no panic") = KEYS[1];
     }
-    thread::sleep(CUT.saturating_sub(started.elapsed()));
-    links[cut].cut(false);
     for caller in hot {
         caller.join().map_err(|_| "a caller panicked")?;
     }
@@ -181,7 +147,7 @@
     };
     let (most, from) =
         ran.iter().map(|(sent, _)| (count_from(sent.at), sent.at)).max().unwrap_or((0, started));
-    let bound = (RATE_PER_S * WINDOW.as_secs_f64() + trouble.burst()) * (1.0 + OVER) + SLACK;
+    let bound = (RATE_PER_S * WINDOW.as_secs_f64() + BURST) * (1.0 + OVER) + SLACK;
     let in_window = |node: usize| {
         let is_in = |(sent, at): &&(&Sent, Instant)| {
             sent.node == node && sent.at >= from && *at < from + WINDOW
@@ -194,16 +160,10 @@
     };
     let mut text = String::new();
     let _ = writeln!(text, "trouble: {is_troubled}");
-    let _ = writeln!(text, "owner of the tenant's partition before: {owner}");
-    let _ = writeln!(text, "owner of the tenant's partition after: {successor}");
-    match (is_troubled, trouble) {
-        (true, Trouble::Cut) => drop(writeln!(text, "node cut off from the store at 0 ms: {cut}")),
-        (true, Trouble::Rotation) => {
-            let (taken, given) =
-                (TAKEN_AFTER.as_millis(), (TAKEN_AFTER + VERSIONS_APART).as_millis());
-            let _ = writeln!(text, "key taken away at {taken} ms, another one given at {given} ms");
-        }
-        (false, _) => {}
+    let _ = writeln!(text, "owner of the tenant's partition: {owner}");
+    if is_troubled {
+        let (taken, given) = (TAKEN_AFTER.as_millis(), (TAKEN_AFTER + VERSIONS_APART).as_millis());
+        let _ = writeln!(text, "key taken away at {taken} ms, another one given at {given} ms");
     }
     let _ = writeln!(
         text,
@@ -272,9 +232,8 @@
     handles
 }
 
-fn configuration(version: u32, trouble: Trouble, keys: &[&str]) -> String {
+fn configuration(version: u32, keys: &[&str]) -> String {
     let (tenant, _) = TENANT;
-    let burst = trouble.burst();
     let keys: Vec<String> = keys.iter().map(|key| format!("\"{key}\"")).collect();
     let keys = keys.join(",");
     format!(
@@ -283,6 +242,6 @@
          \"max_attempts\":2,\"public\":false}}],\
          \"services\":[{{\"name\":\"huvo11a\",\"health_path\":\"/health\",\"max_conns\":550}}],\
          \"limits\":{{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}},\
-         \"tenants\":[{{\"name\":\"{tenant}\",\"api_keys\":[{keys}],\"priority\":1,\"rate_per_s\":{RATE_PER_S},\"burst\":{burst}}}]}}"
+         \"tenants\":[{{\"name\":\"{tenant}\",\"api_keys\":[{keys}],\"priority\":1,\"rate_per_s\":{RATE_PER_S},\"burst\":{BURST}}}]}}"
     )
 }
--- a/review/stage-3/src/versions.rs
+++ b/review/stage-3/src/versions.rs
@@ -18,7 +18,7 @@
 use crate::{
     engine::{Engine, Kind},
     http::Client,
-    log::{Link, Log},
+    log::Log,
     node::{addresses, Node},
 };
 
@@ -38,7 +38,9 @@
 const UP: Duration = Duration::from_millis(750);
 /// When clients send, after the server runs again.
 const SENT_AFTER: Duration = Duration::from_millis(100);
-const CLIENTS: usize = 36;
+const CLIENTS: usize = 54;
+/// Streams that may be joined from two versions.
+const ALLOWED: usize = 2;
 const BOUNDS: &str = "seed_lag_s = 3\nreuse_after_s = 2\nstable_window_ms = 3000\nack_ms = 4000\n\
     catch_up_s = 4.6\ndrain_ms = 2000\ngrace_s = 8\nloss_slack_ms = 200\nconfig_ms = 2000\n\
     rollback_slack_ms = 250\nouter_ms = 5000\nrecover_s = 12\npass_ms = 120\nagain_s = 0\nfinish_s = 18\n\
@@ -115,7 +117,7 @@
     };
     let mut nodes = Vec::new();
     for (index, ip) in addresses(NODES).into_iter().enumerate() {
-        let store = log.serve(Arc::new(Link::default())).map_err(fail)?;
+        let store = log.serve().map_err(fail)?;
         let name = format!("front-ljubljana-a-{}", index + 1);
         nodes.push(Node::start(&name, ip, store, folder, BOUNDS).map_err(fail)?);
     }
@@ -223,7 +225,7 @@
     }
     let _ = writeln!(
         text,
-        "complete answers joined from two versions: {joined} of {}\n",
+        "complete answers joined from two versions: {joined} of {}; {ALLOWED} are allowed\n",
         answers.len()
     );
     for engine in &engines {
@@ -241,6 +243,6 @@
     println!("{}", text.split("\n\n").next().unwrap_or_default());
     match begun {
         0 => Err("the server began no stream".to_string()),
-        _ => Ok(joined == 0),
+        _ => Ok(joined <= ALLOWED),
     }
 }
