test(review): case 11, callers' streams joined from two versions (ORDER)

A replica crashes and comes back in place with another version. The streams that it begins before the node has read its new entry get the old version as their origin, and nothing corrects it when the entry changes. The node is killed 2 s later, and the callers resume at another node: a replica of the old version goes on after the last event of the new one, with status 200.

--- a/review/stage-3/src/main.rs
+++ b/review/stage-3/src/main.rs
@@ -7,6 +7,7 @@
 mod log;
 mod node;
 mod refused;
+mod resumes;
 mod rotation;
 mod versions;
 
@@ -24,6 +25,7 @@
         "crashes" => crashes::run(record, folder, is_troubled),
         "rotation" => rotation::run(record, folder, is_troubled),
         "versions" => versions::run(record, folder, is_troubled),
+        "resumes" => resumes::run(record, folder, is_troubled),
         "refused" => refused::run(record, folder, is_troubled),
         _ => Err(format!("unknown case {case}")),
     };
