fix(batch): commit a job with the last of its appends

Cause: readers take a job for accepted once all chunks of its head are durable. A head that exceeds an append was written in several, with the record of the route last. If that was all that was left for the last append, its refusal was answered 503 although all chunks lay in the log. The withdrawal was derived from the first record that was not written, found no chunk, and deleted nothing. With a chunk it depended on an owner that lives and reaches the log.

Change: the last append of a job always has the last chunk. A head that takes several appends gets an empty last chunk, which all versions read. What earlier appends leave behind is a job to no reader, so a refusal is true at once. The deletion of what was written is no longer repeated until the log takes it: a second submission waited behind it and was answered 504 after 3.5 s in place of 503.

--- a/serving/src/batch/ledger/mod.rs
+++ b/serving/src/batch/ledger/mod.rs
@@ -95,8 +95,9 @@
         self.jobs.iter()
     }
 
-    /// Adds a job and returns its records. The id must not be in the ledger yet. The caller
-    /// appends the records, then calls `confirm_job`, or `withdraw` if the append failed.
+    /// Adds a job and returns the records of each append that writes it. The id must not be in the
+    /// ledger yet. The caller makes the appends in order, then calls `confirm_job`, or `withdraw` if
+    /// the log has refused one of them.
     ///
     /// # Errors
     ///
@@ -106,15 +107,13 @@
         id: &JobId,
         head: Head,
         due: Millis,
-        record_bytes: usize,
-    ) -> record::Result<Vec<log_store::Record>> {
-        let mut records = record::encode_head(id, &head, record_bytes)?;
-        let chunks = records.len();
-        if let Some(route) = &head.route {
-            records.push(record::encode_route(id, route)?);
-        }
+        limits: record::Limits,
+    ) -> record::Result<Vec<Vec<log_store::Record>>> {
+        let appends = record::encode_submission(id, &head, limits)?;
+        let records = appends.iter().map(Vec::len).sum::<usize>();
+        let chunks = records - usize::from(head.route.is_some());
         self.jobs.insert(id.clone(), Job::new(head, due, chunks));
-        Ok(records)
+        Ok(appends)
     }
 
     /// Tokens that wait for a workspace, or for callers without one, on the routes that `is_counted`
@@ -144,7 +143,7 @@
         self.make_ready(id);
     }
 
-    /// Removes a job whose records were not written and won't be. Has no effect on a durable job.
+    /// Removes a job whose last append was not made and won't be. Has no effect on a durable job.
     pub fn withdraw(&mut self, id: &JobId) {
         if self.jobs.get(id).is_some_and(|job| !job.durable) {
             self.jobs.remove(id);
@@ -505,7 +504,7 @@
 }
 
 /// The records that delete the head of a job.
-pub(in crate::batch) fn delete_head(job: &JobId, chunks: u32) -> Vec<log_store::Record> {
+fn delete_head(job: &JobId, chunks: u32) -> Vec<log_store::Record> {
     let key = |chunk| Key::Head { job: job.clone(), chunk };
     (0..chunks).rev().map(|chunk| record::delete(&key(chunk))).collect()
 }
--- a/serving/src/batch/ledger/restore.rs
+++ b/serving/src/batch/ledger/restore.rs
@@ -88,8 +88,7 @@
                     log::error!(job = id.0.as_str(), error:% = error; "could not decode the head of a job");
                     continue;
                 }
-                // Its owner was replaced before it had written the whole head, so the job was never
-                // accepted.
+                // The chunk that commits the job was never written, so the job was never accepted.
                 None => {
                     log::warn!(job = id.0.as_str(); "ignored a job whose head is incomplete");
                     let key = |chunk: &u32| Key::Head { job: id.clone(), chunk: *chunk };
--- a/serving/src/batch/owner/calls.rs
+++ b/serving/src/batch/owner/calls.rs
@@ -16,7 +16,7 @@
         coordinator::Reservation,
         ledger::Ledger,
         quota::{self, Decision},
-        record::Head,
+        record::{Head, Limits},
     },
     Owner, Release,
     handle::{Admission, Command, Lookup, Page, Unavailable},
@@ -189,11 +189,14 @@
         head.config = self.dependencies.catalog.current().map_or(0, |catalog| catalog.version);
         let due = self.dependencies.context.clock.now() + route.results_due;
         let items = head.items.len();
-        match self.ledger.submit(&id, head, due, self.dependencies.settings.record_bytes) {
-            Ok(records) => {
+        let settings = &self.dependencies.settings;
+        let limits =
+            Limits { record_bytes: settings.record_bytes, append_bytes: settings.append_bytes };
+        match self.ledger.submit(&id, head, due, limits) {
+            Ok(appends) => {
                 self.submit_replies.entry(id.clone()).or_default().extend(replies);
                 log::info!(job = id.0.as_str(), items = items, partition = self.partition.number, epoch = self.producer.epoch; "writing a job to the log");
-                self.queue_head(id, records);
+                self.queue_submission(id, appends);
                 self.schedule();
             }
             Err(error) => {
--- a/serving/src/batch/owner/items.rs
+++ b/serving/src/batch/owner/items.rs
@@ -391,13 +391,14 @@
         }
     }
 
-    /// Once per `CLEANUP_INTERVAL`: abandons items of jobs that are too old or without a route, and
-    /// removes jobs past their retention.
+    /// Once per `CLEANUP_INTERVAL`: abandons items of jobs that are too old or without a route, removes
+    /// jobs past their retention, and deletes what was written of withdrawn ones.
     pub(super) fn clean_up(&mut self, now: Instant) {
         if now < self.next_cleanup {
             return;
         }
         self.next_cleanup = now + CLEANUP_INTERVAL.duration();
+        self.delete_withdrawn();
         let Some(catalog) = self.dependencies.catalog.current() else { return };
         let wall = self.dependencies.context.clock.wall_time().0;
         for (id, reason) in self.ledger.find_abandoned(&catalog, wall) {
--- a/serving/src/batch/owner/mod.rs
+++ b/serving/src/batch/owner/mod.rs
@@ -11,7 +11,7 @@
 mod writes;
 
 use std::{
-    collections::{BTreeMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, VecDeque},
     sync::Arc,
 };
 
@@ -107,6 +107,9 @@
     /// Failed runs in writes that a later owner has prevented.
     unsaved_failures: Vec<log_store::Record>,
     pending_append: Option<PendingAppend>,
+    /// Keys of durable records of jobs that aren't committed. Those of jobs that aren't in the ledger are
+    /// to be deleted.
+    begun: BTreeMap<JobId, BTreeSet<String>>,
     /// Callers to answer when a submitted job is durable.
     submit_replies: BTreeMap<JobId, Vec<oneshot::Sender<Result<Admission, Unavailable>>>>,
     /// Callers to answer when a cancellation is durable.
@@ -204,6 +207,7 @@
             isolated: 0,
             unsaved_failures: Vec::new(),
             pending_append: None,
+            begun: BTreeMap::new(),
             submit_replies: BTreeMap::new(),
             cancel_replies: BTreeMap::new(),
             pending_reads: Vec::new(),
--- a/serving/src/batch/owner/writes.rs
+++ b/serving/src/batch/owner/writes.rs
@@ -3,7 +3,10 @@
 //! All writes of a partition wait behind the append in progress. So no write is sent that exceeds the
 //! limits of the log, and one that the log refuses for good ends instead of being repeated.
 
-use std::{collections::VecDeque, sync::Arc};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+};
 
 use bytes::Bytes;
 use tokio::{
@@ -19,7 +22,7 @@
 
 use super::{
     super::{
-        ledger::{ItemId, delete_head},
+        ledger::ItemId,
         record::{self, Key},
     },
     Owner, RETRY_DELAY,
@@ -39,9 +42,9 @@
 /// What to do when a write is durable.
 #[derive(Clone, Debug)]
 pub(super) enum Effect {
-    /// No action: the rest of the job's head follows.
+    /// Note the records, to delete them if the job is withdrawn. The chunk that commits it follows.
     Begun(JobId),
-    /// Confirm the job and answer its submitters.
+    /// Confirm the job, which is committed now, and answer its submitters.
     Accepted(JobId),
     /// List the next result of the job.
     Listed(JobId),
@@ -49,6 +52,8 @@
     Failed(ItemId),
     /// Answer the callers that cancelled the job.
     Cancelled(JobId),
+    /// No further action: the records of a withdrawn job are deleted.
+    Withdrawn(JobId),
     /// No further action: the records hold progress or delete keys.
     Saved,
     /// No further action: the append has shown that no later owner has claimed the partition.
@@ -74,6 +79,7 @@
             Effect::Listed(_)
             | Effect::Failed(_)
             | Effect::Cancelled(_)
+            | Effect::Withdrawn(_)
             | Effect::Saved
             | Effect::Proved => None,
         }
@@ -106,7 +112,7 @@
     ) {
         let write = Write { records, effect, failure, is_doubtful: false };
         if let Some(record) = write.records.iter().find(|record| !self.is_storable(record)) {
-            let reason = format!("record {} has {} bytes", record.key, encoded_len(record));
+            let reason = format!("record {} has {} bytes", record.key, record.encoded_len());
             let replacement = self.end_write(write, &reason);
             self.writes.extend(replacement);
             return;
@@ -121,20 +127,16 @@
         record.key.len() <= MAX_KEY_BYTES && bytes <= limit
     }
 
-    /// Queues the head of a new job, in several appends if it is too large for one.
-    pub(super) fn queue_head(&mut self, id: JobId, records: Vec<Record>) {
-        let limit = self.dependencies.settings.append_bytes;
-        let (mut part, mut bytes) = (Vec::new(), 0);
-        for record in records {
-            let length = encoded_len(&record);
-            if !part.is_empty() && bytes + length > limit {
-                self.queue_write(std::mem::take(&mut part), Effect::Begun(id.clone()));
-                bytes = 0;
-            }
-            bytes += length;
-            part.push(record);
+    /// Queues the appends of a new job. The last one commits it.
+    pub(super) fn queue_submission(&mut self, id: JobId, mut appends: Vec<Vec<Record>>) {
+        let Some(commit) = appends.pop() else { return };
+        for records in appends {
+            self.queue_write(records, Effect::Begun(id.clone()));
+        }
+        // A record that the log can't hold has withdrawn the job.
+        if self.ledger.job(&id).is_some() {
+            self.queue_write(commit, Effect::Accepted(id));
         }
-        self.queue_write(part, Effect::Accepted(id));
     }
 
     /// Starts an append of queued writes, up to `append_bytes`, unless one is in progress. Without
@@ -152,7 +154,7 @@
         let mut writes = Vec::new();
         let mut bytes = 0;
         while let Some(write) = self.writes.front() {
-            bytes += write.records.iter().map(encoded_len).sum::<usize>();
+            bytes += write.records.iter().map(Record::encoded_len).sum::<usize>();
             let is_full = bytes > self.dependencies.settings.append_bytes || self.isolated > 0;
             if !writes.is_empty() && is_full {
                 break;
@@ -187,7 +189,8 @@
             Ok(()) => {
                 self.producer.sequence += 1;
                 self.tenure.confirm(started_at);
-                writes.into_iter().for_each(|write| self.handle_durable(write.effect));
+                writes.into_iter().for_each(|write| self.handle_durable(write));
+                self.delete_withdrawn();
                 self.answer_reads(Instant::now());
                 self.schedule();
             }
@@ -247,9 +250,10 @@
                 }
                 // Nothing was written. Submissions are rejected, so that their callers can retry
                 // at another node; all other writes are repeated.
-                let (submissions, kept): (Vec<Write>, Vec<Write>) =
+                let (submissions, mut kept): (Vec<Write>, Vec<Write>) =
                     writes.into_iter().partition(|write| write.effect.submitted().is_some());
                 self.reject(submissions, Unavailable::NotAccepted);
+                self.postpone_deletions(&mut kept);
                 self.schedule();
                 if !kept.is_empty() {
                     self.start_append(kept, false, RETRY_DELAY);
@@ -260,11 +264,15 @@
     }
 
     /// Applies the effect of a durable write.
-    fn handle_durable(&mut self, effect: Effect) {
+    fn handle_durable(&mut self, write: Write) {
         let metrics = Arc::clone(&self.dependencies.context.metrics);
-        match effect {
-            Effect::Begun(_) => {}
+        match write.effect {
+            Effect::Begun(id) => {
+                let keys = write.records.into_iter().map(|record| record.key);
+                self.begun.entry(id).or_default().extend(keys);
+            }
             Effect::Accepted(id) => {
+                self.begun.remove(&id);
                 metrics.count(&metrics.batch_events, "job", "accepted");
                 self.ledger.confirm_job(&id);
                 log::info!(job = id.0.as_str(), outcome = "accepted"; "job submitted");
@@ -282,7 +290,7 @@
                     let _ = reply.send(Ok(Some(())));
                 }
             }
-            Effect::Saved | Effect::Proved => {}
+            Effect::Withdrawn(_) | Effect::Saved | Effect::Proved => {}
         }
     }
 
@@ -297,23 +305,60 @@
     fn reject(&mut self, writes: impl IntoIterator<Item = Write>, reason: Unavailable) {
         for write in writes {
             if let Some(id) = write.effect.submitted() {
-                self.withdraw(id, &write.records, Err(reason));
+                self.withdraw(id, Err(reason));
             }
         }
     }
 
-    /// Withdraws a submitted job and answers its submitters. `records` are the first ones of its head
-    /// that won't be written.
-    fn withdraw(&mut self, id: &JobId, records: &[Record], answer: Result<Admission, Unavailable>) {
+    /// Withdraws a submitted job, the last append of which won't be made, and answers its submitters.
+    /// The records that earlier appends have written are an accepted job to no reader, so the answer
+    /// doesn't wait until they are deleted.
+    fn withdraw(&mut self, id: &JobId, answer: Result<Admission, Unavailable>) {
         self.ledger.withdraw(id);
-        self.writes.retain(|write| write.effect.submitted() != Some(id));
+        let metrics = &self.dependencies.context.metrics;
+        metrics.count(&metrics.batch_events, "job", "withdrawn");
         log::info!(job = id.0.as_str(), outcome:? = answer; "job not accepted");
         for reply in self.submit_replies.remove(id).unwrap_or_default() {
             let _ = reply.send(answer.clone());
         }
-        let first = records.first().and_then(|record| Key::decode(&record.key));
-        if let Some(Key::Head { chunk: written @ 1.., .. }) = first {
-            self.queue_write(delete_head(id, written), Effect::Saved);
+        let queued = std::mem::take(&mut self.writes);
+        self.writes = queued.into_iter().filter(|write| !self.is_void(write)).collect();
+    }
+
+    /// Queues the deletion of what was written of withdrawn jobs.
+    pub(super) fn delete_withdrawn(&mut self) {
+        let (begun, withdrawn): (BTreeMap<_, _>, BTreeMap<_, _>) = std::mem::take(&mut self.begun)
+            .into_iter()
+            .partition(|(id, _)| self.ledger.job(id).is_some());
+        self.begun = begun;
+        for (id, keys) in withdrawn {
+            log::info!(job = id.0.as_str(), records = keys.len(); "deleting the records of a job that was not accepted");
+            let records = keys.into_iter().map(|key| Record { key, value: None }).collect();
+            self.queue_write(records, Effect::Withdrawn(id));
+        }
+    }
+
+    /// Takes the deletions of withdrawn jobs out of refused writes. Submissions would have to wait behind
+    /// them, and be refused late. They are queued again once the log accepts an append.
+    fn postpone_deletions(&mut self, writes: &mut Vec<Write>) {
+        for write in writes.extract_if(.., |write| matches!(write.effect, Effect::Withdrawn(_))) {
+            if let Effect::Withdrawn(id) = write.effect {
+                let keys = write.records.into_iter().map(|record| record.key);
+                self.begun.entry(id).or_default().extend(keys);
+            }
+        }
+    }
+
+    /// Whether a write belongs to a job that was withdrawn.
+    fn is_void(&self, write: &Write) -> bool {
+        match &write.effect {
+            Effect::Begun(id) | Effect::Accepted(id) => self.ledger.job(id).is_none(),
+            Effect::Cancelled(_)
+            | Effect::Listed(_)
+            | Effect::Failed(_)
+            | Effect::Withdrawn(_)
+            | Effect::Saved
+            | Effect::Proved => false,
         }
     }
 
@@ -357,7 +402,7 @@
         metrics.count(&metrics.batch_events, "write", "dropped");
         match write.effect {
             Effect::Begun(id) | Effect::Accepted(id) => {
-                self.withdraw(&id, &write.records, Ok(Admission::Invalid(reason.to_string())));
+                self.withdraw(&id, Ok(Admission::Invalid(reason.to_string())));
             }
             Effect::Listed(id) => {
                 let mut records = write.records;
@@ -378,7 +423,7 @@
                     let _ = reply.send(Err(Unavailable::Unknown));
                 }
             }
-            Effect::Saved | Effect::Proved => {}
+            Effect::Withdrawn(_) | Effect::Saved | Effect::Proved => {}
         }
         None
     }
@@ -431,8 +476,3 @@
         None => std::future::pending().await,
     }
 }
-
-/// Approximate size of a record in an append, in bytes.
-fn encoded_len(record: &Record) -> usize {
-    record.key.len() + record.value.as_ref().map_or(0, Bytes::len) + 8
-}
--- a/serving/src/batch/record.rs
+++ b/serving/src/batch/record.rs
@@ -3,6 +3,10 @@
 //! A job has a head in one or more chunks, a record of its route, a record for each result, a record of the progress of
 //! each unfinished item, a record for each failed run of an unfinished item, and a record of its
 //! cancellation.
+//!
+//! The last chunk of the head commits the job: a job is accepted if all chunks are in the log. It is
+//! in the last append of a submission, which takes effect as a whole or not at all, so what the
+//! appends before it leave behind is an accepted job to no reader.
 
 use std::{collections::BTreeMap, fmt, str::FromStr, sync::Arc};
 
@@ -209,27 +213,93 @@
     log_store::Record { key: "o".to_string(), value: None }
 }
 
-/// Encodes the head of a job in chunks of at most `bytes`, one record each. A chunk is preceded
-/// by the number of chunks after it (4 bytes, big endian), so that a head some of whose records
-/// are deleted is recognised as incomplete.
+/// Limits of what is written to the log, in bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Maximum size of a chunk of a head.
+    pub record_bytes: usize,
+    /// Maximum size of an append. A larger record has an append of its own.
+    pub append_bytes: usize,
+}
+
+/// Encodes the head of a job and its route. Returns the records of each append, in the order in which
+/// they are to be written, with the chunk that commits the job in the last one. If there is more than
+/// one append, that chunk holds no bytes of the head.
+///
+/// # Errors
+///
+/// Fails if `head` can't be encoded.
+pub fn encode_submission(
+    job: &Job,
+    head: &Head,
+    limits: Limits,
+) -> Result<Vec<Vec<log_store::Record>>> {
+    let encoded = to_bytes(head)?;
+    let mut chunks: Vec<&[u8]> = encoded.chunks(limits.record_bytes.max(1)).collect();
+    let route = head.route.as_ref().map(|route| encode_route(job, route)).transpose()?;
+    let mut records = encode_chunks(job, &chunks);
+    let bytes = records.iter().chain(&route).map(log_store::Record::encoded_len).sum::<usize>();
+    if bytes <= limits.append_bytes {
+        records.extend(route);
+        return Ok(vec![records]);
+    }
+    chunks.push(&[]);
+    records = encode_chunks(job, &chunks);
+    let commit = records.pop();
+    records.extend(route);
+    records.extend(commit);
+    Ok(group_by_append(records, limits.append_bytes))
+}
+
+/// Encodes the head of a job in chunks of at most `bytes`, one record each.
 ///
 /// # Errors
 ///
 /// Fails if `head` can't be encoded.
 pub fn encode_head(job: &Job, head: &Head, bytes: usize) -> Result<Vec<log_store::Record>> {
+    let encoded = to_bytes(head)?;
+    let chunks: Vec<&[u8]> = encoded.chunks(bytes.max(1)).collect();
+    Ok(encode_chunks(job, &chunks))
+}
+
+fn to_bytes(head: &Head) -> Result<Vec<u8>> {
     let mut encoded = postcard::to_stdvec(head)?;
     if let Some(workspace) = &head.workspace {
         encoded.extend(postcard::to_stdvec(workspace)?);
     }
-    let chunks: Vec<&[u8]> = encoded.chunks(bytes.max(1)).collect();
-    let last = chunks.len() as u32 - 1;
-    let record = |(index, chunk): (usize, &&[u8])| {
-        let index = index as u32;
-        let mut value = (last - index).to_be_bytes().to_vec();
+    Ok(encoded)
+}
+
+/// Encodes the chunks of a head. Each is preceded by the number of chunks after it (4 bytes, big
+/// endian), so that a head some of whose records are missing is recognised as incomplete.
+fn encode_chunks(job: &Job, chunks: &[&[u8]]) -> Vec<log_store::Record> {
+    let total = chunks.len() as u32;
+    let record = |(index, chunk): (u32, &&[u8])| {
+        let mut value = (total - 1 - index).to_be_bytes().to_vec();
         value.extend_from_slice(chunk);
         put(&Key::Head { job: job.clone(), chunk: index }, value)
     };
-    Ok(chunks.iter().enumerate().map(record).collect())
+    (0..).zip(chunks).map(record).collect()
+}
+
+/// Divides records into appends of at most `append_bytes`, or of one record.
+fn group_by_append(
+    records: Vec<log_store::Record>,
+    append_bytes: usize,
+) -> Vec<Vec<log_store::Record>> {
+    let mut appends: Vec<Vec<log_store::Record>> = Vec::new();
+    let mut bytes = 0;
+    for record in records {
+        bytes += record.encoded_len();
+        match appends.last_mut() {
+            Some(append) if bytes <= append_bytes => append.push(record),
+            _ => {
+                bytes = record.encoded_len();
+                appends.push(vec![record]);
+            }
+        }
+    }
+    appends
 }
 
 /// Decodes a head from the values of its records by chunk index. `None` if chunks are missing.
--- a/serving/src/log_store.rs
+++ b/serving/src/log_store.rs
@@ -16,6 +16,9 @@
 /// A log service that several tasks share.
 pub type Handle = Arc<dyn Store>;
 
+/// Size of the lengths of a record and its key in an append, at most.
+const RECORD_OVERHEAD_BYTES: usize = 8;
+
 /// Why a call to the log service failed.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Error {
@@ -67,6 +70,13 @@
     pub value: Option<Bytes>,
 }
 
+impl Record {
+    /// Approximate size of the record in an append, in bytes.
+    pub fn encoded_len(&self) -> usize {
+        self.key.len() + self.value.as_ref().map_or(0, Bytes::len) + RECORD_OVERHEAD_BYTES
+    }
+}
+
 /// The result of one read of a partition.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Page {
--- a/serving/tests/jobs.rs
+++ b/serving/tests/jobs.rs
@@ -15,7 +15,9 @@
     access::Guard,
     balance,
     batch::{
-        Admission, Group, Handle, Location, Settings, TOPIC, Unavailable, partition_for,
+        Admission, Group, Handle, Location, Settings, TOPIC, Unavailable,
+        ledger::Ledger,
+        partition_for,
         record::{self, Head, Item},
     },
     catalog::{self, Catalog, Kind, Limits, Route, Share},
@@ -37,6 +39,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpListener,
+    task::JoinSet,
 };
 
 const HOST: &str = "a.example";
@@ -162,6 +165,23 @@
         quota: u64,
         codec: Arc<dyn Codec>,
         upstream: Option<SocketAddr>,
+    ) -> Node {
+        Node::start_with_settings(log, index, quota, codec, upstream, Settings::default())
+    }
+
+    /// Starts a node that writes jobs of more than a few hundred bytes in several appends.
+    fn start_with_small_appends(log: &Log, index: u8) -> Node {
+        let small = Settings { record_bytes: 64, append_bytes: 200, ..Settings::default() };
+        Node::start_with_settings(log, index, 0, Arc::new(NoHeaders), None, small)
+    }
+
+    fn start_with_settings(
+        log: &Log,
+        index: u8,
+        quota: u64,
+        codec: Arc<dyn Codec>,
+        upstream: Option<SocketAddr>,
+        settings: Settings,
     ) -> Node {
         let log = log.view();
         let mut balance = balance::State::new(balance::Settings::default(), "here".into(), 1);
@@ -202,7 +222,7 @@
             renewal_ms: 50,
             isolation_ms: 500,
             proof_ms: 200,
-            ..Settings::default()
+            ..settings
         };
         let address: SocketAddr = format!("10.0.0.{index}:7000").parse().unwrap();
         let group = Group::new(
@@ -410,6 +430,156 @@
     assert!(log.records(&partition).is_empty());
 }
 
+/// What happens to an owner after it has answered a submission.
+#[derive(Clone, Copy, Debug)]
+enum Ending {
+    /// It goes on, and the log answers again.
+    GoesOn,
+    /// It releases its partitions while the log answers again.
+    Leaves,
+    /// It never reaches the log again, and another node takes over.
+    CutOff,
+}
+
+/// Delay of late appends.
+const LATE: Millis = Millis(300);
+
+/// Submits a job of one item with a body of `body` bytes. The fault begins at the append number `index` of
+/// the submission. Returns what is wrong with what the next owner makes of the job, and of its repeat.
+async fn submit_during_fault(
+    fault: Fault,
+    index: usize,
+    body: usize,
+    ending: Ending,
+) -> Option<String> {
+    let log = Log::new(PARTITIONS);
+    let first = Node::start_with_small_appends(&log, 1);
+    let owner = first.owner().await;
+    assert_eq!(owner.read(job("a"), 0, Millis(0)).await, Ok(None));
+    let submitted = || {
+        let mut head = head(1);
+        head.items[0].body = vec![7; body];
+        head
+    };
+    first.log.set_fault_after(index, fault);
+    let submitting = owner.submit(job("a"), submitted());
+    let answer = tokio::time::timeout(Duration::from_millis(1_000), submitting).await;
+    let is_refused =
+        matches!(answer, Ok(Err(Unavailable::NotAccepted) | Ok(Admission::Invalid(_))));
+    let second = match ending {
+        Ending::GoesOn => {
+            first.log.set_fault(Fault::None);
+            None
+        }
+        Ending::Leaves => {
+            first.log.set_fault(Fault::None);
+            first.group.leave().await;
+            Some(Node::start_with_small_appends(&log, 2))
+        }
+        Ending::CutOff => {
+            first.log.set_fault(Fault::Down);
+            Some(Node::start_with_small_appends(&log, 2))
+        }
+    };
+    let reader = second.as_ref().unwrap_or(&first);
+    let find = async || {
+        for _ in 0..200 {
+            if let Ok(page) = reader.owner().await.read(job("a"), 0, Millis(0)).await {
+                return page.is_some();
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        panic!("no owner answers");
+    };
+    let mut is_found = find().await;
+    tokio::time::sleep(LATE.duration()).await;
+    is_found |= find().await;
+    if is_refused && is_found {
+        return Some(format!("the job was answered {answer:?} and is accepted"));
+    }
+    if answer == Ok(Ok(Admission::Durable)) && !is_found {
+        return Some("the accepted job is lost".to_string());
+    }
+    let mut repeated = Err(Unavailable::Unknown);
+    for _ in 0..100 {
+        repeated = reader.owner().await.submit(job("a"), submitted()).await;
+        if repeated == Ok(Admission::Durable) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    // Deletions that are still on their way must not reach the repeated job.
+    tokio::time::sleep(LATE.duration()).await;
+    let number = partition_for("a", PARTITIONS);
+    let partition = Partition { topic: TOPIC.to_string(), number };
+    let records = log.read_latest(&partition).await.unwrap().records;
+    let ledger = Ledger::restore(&records, 0, Millis(0), |_| Millis(0));
+    let stored = ledger.job(&job("a")).map(|job| job.head.items.clone());
+    let is_stored = stored.is_some_and(|items| items == submitted().items);
+    (repeated != Ok(Admission::Durable) || !is_stored).then(|| {
+        format!("answered {answer:?}; the repeat is answered {repeated:?}, stored: {is_stored}")
+    })
+}
+
+/// Guards against a refused job that a later owner takes for an accepted one, because what was written
+/// of it looks complete, and against a repeat that is harmed by what the refused attempt left behind.
+#[tokio::test]
+async fn refused_job_is_no_job_to_any_later_owner() {
+    let faults =
+        [Fault::Down, Fault::Invalid, Fault::LostAnswers, Fault::LateAppends(LATE), Fault::Fenced];
+    let mut cases = Vec::new();
+    for fault in faults {
+        for index in 0..4 {
+            for ending in [Ending::GoesOn, Ending::Leaves, Ending::CutOff] {
+                cases.push((fault, index, 300, ending));
+            }
+        }
+    }
+    // The route has an append of its own at some of these sizes, if it comes last.
+    cases.extend((0..200).map(|body| (Fault::Down, 1, body, Ending::CutOff)));
+    cases.extend((200..360).map(|body| (Fault::Down, 2, body, Ending::CutOff)));
+    let mut wrong = Vec::new();
+    for batch in cases.chunks(80) {
+        let mut running = JoinSet::new();
+        for (fault, index, body, ending) in batch.iter().copied() {
+            running.spawn(async move {
+                let problem = submit_during_fault(fault, index, body, ending).await?;
+                Some(format!("{fault:?} {index} {body} {ending:?}: {problem}"))
+            });
+        }
+        wrong.extend(running.join_all().await.into_iter().flatten());
+    }
+    assert!(wrong.is_empty(), "{} of {} cases:\n{}", wrong.len(), cases.len(), wrong.join("\n"));
+}
+
+/// Guards against a submission that waits behind the deletion of an earlier one while the log refuses
+/// appends, and against records of refused jobs that are kept for good.
+#[tokio::test]
+async fn refusal_does_not_wait_for_the_deletion_of_an_earlier_job() {
+    let log = Log::new(PARTITIONS);
+    let node = Node::start_with_small_appends(&log, 1);
+    let owner = node.owner().await;
+    assert_eq!(owner.read(job("a"), 0, Millis(0)).await, Ok(None));
+    node.log.set_fault_after(1, Fault::Down);
+    assert_eq!(owner.submit(job("a"), head(7)).await, Err(Unavailable::NotAccepted));
+    let partition = Partition { topic: TOPIC.to_string(), number: partition_for("a", PARTITIONS) };
+    let records = async || log.read_latest(&partition).await.unwrap().records;
+    assert!(!records().await.is_empty(), "the first append of the job was written");
+    for _ in 0..5 {
+        let submitting = owner.submit(job("a"), head(7));
+        let answer = tokio::time::timeout(Duration::from_millis(50), submitting).await;
+        assert_eq!(answer, Ok(Err(Unavailable::NotAccepted)));
+    }
+    node.log.set_fault(Fault::None);
+    for _ in 0..1_000 {
+        if records().await.is_empty() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("the records of the refused job are still there: {:?}", records().await);
+}
+
 /// The group reassigns all partitions several times while jobs are submitted.
 #[tokio::test]
 async fn burst_of_jobs_survives_reassignments_of_partitions() {
--- a/serving/tests/ledger.rs
+++ b/serving/tests/ledger.rs
@@ -10,7 +10,8 @@
     batch::{
         ledger::{AbandonReason, ItemId, Ledger, Progress, RunEnd, RunRecords},
         record::{
-            Failure, Head, Item, Key, RunId, State, decode_head, encode_failure, encode_head,
+            self, Failure, Head, Item, Key, RunId, State, decode_head, encode_failure, encode_head,
+            encode_submission,
         },
     },
     catalog::{Catalog, Kind, Limits, Route, RouteKey, Share},
@@ -22,6 +23,8 @@
 
 const RETRY_DELAY: Millis = Millis(200);
 const CHUNK_BYTES: usize = 100;
+/// Limits with which jobs are written in one append.
+const LIMITS: record::Limits = record::Limits { record_bytes: CHUNK_BYTES, append_bytes: 1 << 20 };
 
 fn config() -> Config {
     Config { rng_seed: RngSeed::Fixed(14), failure_persistence: None, ..Config::default() }
@@ -47,7 +50,7 @@
 }
 
 fn submit(ledger: &mut Ledger, id: &str, items: usize) -> Vec<Record> {
-    ledger.submit(&JobId::from(id), head(items), Millis(18_000), CHUNK_BYTES).unwrap()
+    ledger.submit(&JobId::from(id), head(items), Millis(18_000), LIMITS).unwrap().concat()
 }
 
 /// Returns a ledger with one durable job, and the records of the job.
@@ -300,7 +303,7 @@
     let mut ledger = Ledger::default();
     for (id, due) in [("late", 30_000), ("early", 10_000)] {
         let id = JobId::from(id);
-        ledger.submit(&id, head(1), Millis(due), CHUNK_BYTES).unwrap();
+        ledger.submit(&id, head(1), Millis(due), LIMITS).unwrap();
         ledger.confirm_job(&id);
     }
     let order: Vec<String> = ledger.runnable(Millis(0)).map(|item| item.job.to_string()).collect();
@@ -398,6 +401,68 @@
     }
 }
 
+proptest! {
+    #![proptest_config(config())]
+
+    /// Guards against a job that a reader takes for accepted before its last append is durable,
+    /// whatever an earlier attempt at the same job has left behind.
+    #[test]
+    fn job_is_accepted_by_its_last_append_only(
+        bodies in prop::collection::vec(0usize..300, 0..4),
+        record_bytes in 16usize..200,
+        append_bytes in 100usize..600,
+        has_route in any::<bool>(),
+    ) {
+        let id = JobId::from("job");
+        let mut written = head(bodies.len());
+        for (item, bytes) in written.items.iter_mut().zip(&bodies) {
+            item.body = vec![7; *bytes];
+        }
+        let route = RouteKey { id: "night".into(), prefix: "/jobs/night/".to_string() };
+        written.route = has_route.then_some(route);
+        let limits = record::Limits { record_bytes, append_bytes };
+        let earlier = encode_submission(&id, &Head { accepted: 900, ..written.clone() }, limits);
+        let (earlier, appends) = (earlier.unwrap(), encode_submission(&id, &written, limits).unwrap());
+        for of_earlier in 0..earlier.len() {
+            let left = earlier[..of_earlier].concat();
+            for of_later in 0..appends.len() {
+                let records = latest(&[left.clone(), appends[..of_later].concat()].concat());
+                prop_assert!(restore(&records).job(&id).is_none(), "{of_earlier}, {of_later}");
+            }
+            let restored = restore(&latest(&[left, appends.concat()].concat()));
+            prop_assert_eq!(restored.job(&id).map(|job| &job.head), Some(&written));
+        }
+        for append in &appends {
+            let bytes: usize = append.iter().map(Record::encoded_len).sum();
+            prop_assert!(append.len() == 1 || bytes <= append_bytes);
+        }
+    }
+}
+
+/// Guards against a head in several appends that nodes of an earlier release can't read.
+#[test]
+fn head_in_several_appends_ends_with_an_empty_chunk() {
+    let id = JobId::from("job");
+    let limits = record::Limits { append_bytes: 400, ..LIMITS };
+    let route = Some(RouteKey { id: "night".into(), prefix: "/jobs/night/".to_string() });
+    let written = Head { route, ..head(6) };
+    let appends = encode_submission(&id, &written, limits).unwrap();
+    let shape: Vec<Vec<(&str, usize)>> = appends
+        .iter()
+        .map(|append| {
+            let size = |record: &Record| record.value.as_ref().map_or(0, bytes::Bytes::len);
+            append.iter().map(|record| (record.key.as_str(), size(record))).collect()
+        })
+        .collect();
+    insta::assert_debug_snapshot!(shape);
+    let one_append = encode_submission(&id, &written, LIMITS).unwrap().concat();
+    let joined = |records: &[Record]| -> Vec<u8> {
+        let chunks = records.iter().filter(|record| record.key.starts_with("h/"));
+        chunks.flat_map(|record| record.value.as_ref().unwrap()[4..].to_vec()).collect()
+    };
+    assert_eq!(joined(&appends.concat()), joined(&one_append));
+}
+
 /// A caller may state any number of tokens; their sum must neither end the owner nor wrap around to
 /// a job that fits every quota.
 #[test]
@@ -405,7 +470,7 @@
     let mut head = head(3);
     head.items.iter_mut().for_each(|item| item.tokens = u64::MAX / 2 + 1);
     let mut ledger = Ledger::default();
-    ledger.submit(&JobId::from("job"), head, Millis(18_000), CHUNK_BYTES).unwrap();
+    ledger.submit(&JobId::from("job"), head, Millis(18_000), LIMITS).unwrap();
     ledger.confirm_job(&JobId::from("job"));
     let waiting = |ledger: &Ledger| ledger.jobs().map(|(_, job)| job.waiting_tokens).max();
     assert_eq!(waiting(&ledger), Some(u64::MAX));
@@ -474,7 +539,8 @@
     let accepted = RouteKey { id: "night".into(), prefix: "/jobs/night/".to_string() };
     let head = Head { route: Some(accepted.clone()), ..head(1) };
     let mut ledger = Ledger::default();
-    let records = ledger.submit(&id, head, Millis(0), 1 << 10).unwrap();
+    let limits = record::Limits { record_bytes: 1 << 10, ..LIMITS };
+    let records = ledger.submit(&id, head, Millis(0), limits).unwrap().concat();
     assert_eq!(restore(&records).job(&id).unwrap().head.route, Some(accepted));
     let older: Vec<Record> =
         records.iter().filter(|record| !record.key.starts_with("t/")).cloned().collect();
--- a/standins/src/keyed_log.rs
+++ b/standins/src/keyed_log.rs
@@ -31,12 +31,21 @@
     None,
     /// Refuses every call.
     Down,
+    /// Refuses every call after some time.
+    SlowlyDown(Millis),
     /// Answers nothing, and does nothing.
     Silent,
     /// Carries appends out and loses their answers.
     LostAnswers,
     /// Answers nothing, and carries appends out later if their condition still holds.
     LateAppends(Millis),
+    /// Refuses appends as ones that it can't accept.
+    Invalid,
+    /// Leaves the first append without an answer, carries it out later if its condition still holds, and
+    /// refuses the ones after it as ones that it can't accept.
+    LateThenInvalid(Millis),
+    /// A later owner claims the partition of the next append before it arrives.
+    Fenced,
 }
 
 #[derive(Default)]
@@ -78,6 +87,8 @@
     partitions: u16,
     state: Arc<Mutex<State>>,
     fault: Arc<Mutex<Fault>>,
+    /// Appends of submissions that are carried out before a fault begins, and the fault.
+    next_fault: Arc<Mutex<Option<(usize, Fault)>>>,
     max_record_bytes: Arc<AtomicUsize>,
 }
 
@@ -89,6 +100,7 @@
             partitions,
             state: Arc::default(),
             fault: Arc::default(),
+            next_fault: Arc::default(),
             max_record_bytes: Arc::new(AtomicUsize::new(MAX_RECORD_BYTES)),
         }
     }
@@ -100,13 +112,37 @@
 
     /// The same log as another caller sees it, with faults of its own.
     pub fn view(&self) -> Log {
-        Log { fault: Arc::default(), ..self.clone() }
+        Log { fault: Arc::default(), next_fault: Arc::default(), ..self.clone() }
     }
 
     pub fn set_fault(&self, fault: Fault) {
         *self.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
     }
 
+    /// Sets a fault that begins after `appends` more appends of a submitted job.
+    pub fn set_fault_after(&self, appends: usize, fault: Fault) {
+        *self.next_fault.lock().unwrap_or_else(PoisonError::into_inner) = Some((appends, fault));
+    }
+
+    /// Counts an append towards the next fault, and begins that fault if it is due.
+    fn count_append(&self, records: &[Record]) {
+        let is_submitted = |record: &Record| {
+            record.value.is_some() && (record.key.starts_with("h/") || record.key.starts_with("t/"))
+        };
+        if !records.iter().any(is_submitted) {
+            return;
+        }
+        let mut next = self.next_fault.lock().unwrap_or_else(PoisonError::into_inner);
+        *next = match *next {
+            Some((0, fault)) => {
+                self.set_fault(fault);
+                None
+            }
+            Some((appends, fault)) => Some((appends - 1, fault)),
+            None => None,
+        };
+    }
+
     /// Writes a record as the platform itself does, whatever the fault.
     pub fn put(&self, topic: &str, key: &str, value: Option<Bytes>) {
         let partition = Partition { topic: topic.to_string(), number: 0 };
@@ -153,12 +189,21 @@
         let fault = *self.fault.lock().unwrap_or_else(PoisonError::into_inner);
         match fault {
             Fault::Down => Err(Error::Refused("the log is down".to_string())),
+            Fault::SlowlyDown(delay) => {
+                tokio::time::sleep(delay.duration()).await;
+                Err(Error::Refused("the log is down".to_string()))
+            }
             Fault::Silent => {
                 // Callers give up long before.
                 tokio::time::sleep(Duration::from_secs(3_600)).await;
                 Err(Error::Unknown("no answer".to_string()))
             }
-            Fault::None | Fault::LostAnswers | Fault::LateAppends(_) => Ok(fault),
+            Fault::None
+            | Fault::LostAnswers
+            | Fault::LateAppends(_)
+            | Fault::Invalid
+            | Fault::LateThenInvalid(_)
+            | Fault::Fenced => Ok(fault),
         }
     }
 
@@ -229,12 +274,23 @@
         producer: &Producer,
         records: &[Record],
     ) -> Result<()> {
+        self.count_append(records);
         match self.fault().await? {
             Fault::LostAnswers => {
                 let _ = self.do_append(partition, producer, records);
                 Err(Error::Unknown("the answer was lost".to_string()))
             }
-            Fault::LateAppends(delay) => {
+            Fault::Invalid => Err(Error::Invalid("invalid".to_string())),
+            Fault::Fenced => {
+                self.set_fault(Fault::None);
+                let later = Producer { epoch: producer.epoch + 1, ..producer.clone() };
+                self.do_append(partition, &later, &[])?;
+                self.do_append(partition, producer, records)
+            }
+            fault @ (Fault::LateAppends(delay) | Fault::LateThenInvalid(delay)) => {
+                if fault != Fault::LateAppends(delay) {
+                    self.set_fault(Fault::Invalid);
+                }
                 let (log, partition) = (self.clone(), partition.clone());
                 let (producer, records) = (producer.clone(), records.to_vec());
                 tokio::spawn(async move {
@@ -243,7 +299,7 @@
                 });
                 Err(Error::Unknown("the answer was lost".to_string()))
             }
-            Fault::None | Fault::Down | Fault::Silent => {
+            Fault::None | Fault::Down | Fault::SlowlyDown(_) | Fault::Silent => {
                 self.do_append(partition, producer, records)
             }
         }
