fix(batch): drop the cancellation of a job that the log refuses

Callers would see: a job that was cancelled while its first submission was being written, refused, and accepted when it came again, ends without a run once its partition has another owner. Found by looking for what else takes several appends; no client of the platform does this.

Cause: the record of the cancellation was repeated until the log took it, although the head before it had been refused. The next owner applied it to the later job.

Change: the cancellation is withdrawn with the job and its caller is told to retry. An owner that finds a cancellation without a head, from an older version, deletes it.

cancellation_of_a_refused_job_does_not_apply_to_its_repeat (serving/tests/jobs.rs) failed before; cancellation_without_a_head_is_deleted is new with the change.

--- a/serving/src/batch/ledger/restore.rs
+++ b/serving/src/batch/ledger/restore.rs
@@ -114,10 +114,13 @@
                 }
             }
             job.listed = job.results.len();
-            job.cancelled = cancelled.contains(&id);
+            job.cancelled = cancelled.remove(&id);
             ledger.jobs.insert(id.clone(), job);
             ledger.make_ready(&id);
         }
+        // Older nodes write the cancellation of a job that the log has refused.
+        let of_no_job = cancelled.into_iter().map(|job| Key::Cancelled { job });
+        ledger.obsolete.extend(of_no_job.map(|key| record::delete(&key)));
         ledger.obsolete.extend(routes.into_keys().map(|job| record::delete(&Key::Route { job })));
         // Nodes that don't know these records leave them behind when they remove a job.
         for (job, runs) in failures {
--- a/serving/src/batch/owner/writes.rs
+++ b/serving/src/batch/owner/writes.rs
@@ -253,6 +253,7 @@
                 let (submissions, mut kept): (Vec<Write>, Vec<Write>) =
                     writes.into_iter().partition(|write| write.effect.submitted().is_some());
                 self.reject(submissions, Unavailable::NotAccepted);
+                kept.retain(|write| !self.is_void(write));
                 self.postpone_deletions(&mut kept);
                 self.schedule();
                 if !kept.is_empty() {
@@ -321,6 +322,9 @@
         for reply in self.submit_replies.remove(id).unwrap_or_default() {
             let _ = reply.send(answer.clone());
         }
+        for reply in self.cancel_replies.remove(id).unwrap_or_default() {
+            let _ = reply.send(Err(Unavailable::NotAccepted));
+        }
         let queued = std::mem::take(&mut self.writes);
         self.writes = queued.into_iter().filter(|write| !self.is_void(write)).collect();
     }
@@ -349,12 +353,14 @@
         }
     }
 
-    /// Whether a write belongs to a job that was withdrawn.
+    /// Whether a write belongs to a job that was withdrawn. The cancellation of such a job would apply
+    /// to a later submission with the same id.
     fn is_void(&self, write: &Write) -> bool {
         match &write.effect {
-            Effect::Begun(id) | Effect::Accepted(id) => self.ledger.job(id).is_none(),
-            Effect::Cancelled(_)
-            | Effect::Listed(_)
+            Effect::Begun(id) | Effect::Accepted(id) | Effect::Cancelled(id) => {
+                self.ledger.job(id).is_none()
+            }
+            Effect::Listed(_)
             | Effect::Failed(_)
             | Effect::Withdrawn(_)
             | Effect::Saved
--- a/serving/tests/jobs.rs
+++ b/serving/tests/jobs.rs
@@ -525,8 +525,13 @@
 /// of it looks complete, and against a repeat that is harmed by what the refused attempt left behind.
 #[tokio::test]
 async fn refused_job_is_no_job_to_any_later_owner() {
-    let faults =
-        [Fault::Down, Fault::Invalid, Fault::LostAnswers, Fault::LateAppends(LATE), Fault::Fenced];
+    let faults = [
+        Fault::Down,
+        Fault::Invalid,
+        Fault::LostAnswers,
+        Fault::LateAppends(LATE),
+        Fault::Fenced,
+    ];
     let mut cases = Vec::new();
     for fault in faults {
         for index in 0..4 {
@@ -580,6 +585,33 @@
     panic!("the records of the refused job are still there: {:?}", records().await);
 }
 
+/// Guards against the cancellation of a refused job that applies to a later submission.
+#[tokio::test]
+async fn cancellation_of_a_refused_job_does_not_apply_to_its_repeat() {
+    let log = Log::new(PARTITIONS);
+    let first = Node::start(&log, 1, 0);
+    let owner = first.owner().await;
+    assert_eq!(owner.read(job("a"), 0, Millis(0)).await, Ok(None));
+    first.log.set_fault_after(0, Fault::SlowlyDown(Millis(200)));
+    let submitting = tokio::spawn({
+        let owner = owner.clone();
+        async move { owner.submit(job("a"), head(3)).await }
+    });
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let cancelling = tokio::spawn({
+        let owner = owner.clone();
+        async move { owner.cancel(job("a")).await }
+    });
+    assert_eq!(submitting.await.unwrap(), Err(Unavailable::NotAccepted));
+    first.log.set_fault(Fault::None);
+    assert_eq!(cancelling.await.unwrap(), Err(Unavailable::NotAccepted));
+    assert_eq!(owner.submit(job("a"), head(3)).await, Ok(Admission::Durable));
+    first.group.leave().await;
+    let second = Node::start(&log, 2, 0);
+    let body = second.owner().await.body(job("a"), "item-0".to_string()).await;
+    assert!(matches!(body, Ok(Some(_))), "the repeat was restored as cancelled: {body:?}");
+}
+
 /// The group reassigns all partitions several times while jobs are submitted.
 #[tokio::test]
 async fn burst_of_jobs_survives_reassignments_of_partitions() {
--- a/serving/tests/ledger.rs
+++ b/serving/tests/ledger.rs
@@ -463,6 +463,18 @@
     assert_eq!(joined(&appends.concat()), joined(&one_append));
 }
 
+/// Guards against a cancellation, left behind by a refused job, that applies to a later submission.
+#[test]
+fn cancellation_without_a_head_is_deleted() {
+    let (mut ledger, records) = accepted_ledger(1);
+    let cancellation = ledger.cancel(&JobId::from("job")).unwrap();
+    let obsolete = restore(std::slice::from_ref(&cancellation)).take_obsolete();
+    assert_eq!(obsolete, [Record { value: None, ..cancellation.clone() }]);
+    let mut cancelled = restore(&[records, vec![cancellation]].concat());
+    assert!(cancelled.job(&JobId::from("job")).unwrap().cancelled);
+    assert!(cancelled.take_obsolete().is_empty());
+}
+
 /// A caller may state any number of tokens; their sum must neither end the owner nor wrap around to
 /// a job that fits every quota.
 #[test]
