fix(batch): keep an append's outcome unknown until something proves it

Cause: an append of unknown outcome that was refused for good when it was repeated counted as refused. Its first attempt could still arrive, and its sequence number was used for other records, so that the log took these for a repeat.

Change: in the first case the owner ends, and the next one at this node fences what may still arrive, as after a sequence number that doesn't fit; submitters are answered 504.

--- a/serving/src/batch/owner/writes.rs
+++ b/serving/src/batch/owner/writes.rs
@@ -222,10 +222,10 @@
                 self.producer.sequence = expected;
                 self.start_append(writes, false, Millis(0));
             }
-            // An earlier attempt may still arrive, so no other sequence number is safe. The next owner
-            // at this node fences it.
-            Err(Error::OutOfSequence(expected)) => {
-                log::error!(partition = self.partition.number, epoch = self.producer.epoch, sequence = self.producer.sequence, expected = expected; "restarting the owner: the outcome of an append can't be known");
+            // An earlier attempt may still arrive, so that its sequence number can't be used for
+            // another append, and no other one is safe. The next owner at this node fences it.
+            Err(error @ (Error::OutOfSequence(_) | Error::Invalid(_))) if uncertain => {
+                log::error!(partition = self.partition.number, epoch = self.producer.epoch, sequence = self.producer.sequence, error:% = error; "restarting the owner: the outcome of an append can't be known");
                 self.keep_failures(&writes);
                 self.reject(writes, Unavailable::Unknown);
                 let queued = std::mem::take(&mut self.writes);
--- a/serving/tests/jobs.rs
+++ b/serving/tests/jobs.rs
@@ -530,6 +530,7 @@
         Fault::Invalid,
         Fault::LostAnswers,
         Fault::LateAppends(LATE),
+        Fault::LateThenInvalid(LATE),
         Fault::Fenced,
     ];
     let mut cases = Vec::new();
