--- a/standins/src/keyed_log.rs
+++ b/standins/src/keyed_log.rs
@@ -115,7 +115,13 @@
         Log { fault: Arc::default(), next_fault: Arc::default(), ..self.clone() }
     }
 
+    /// Sets the fault that begins now, in place of one that was to begin later.
     pub fn set_fault(&self, fault: Fault) {
+        *self.next_fault.lock().unwrap_or_else(PoisonError::into_inner) = None;
+        self.begin_fault(fault);
+    }
+
+    fn begin_fault(&self, fault: Fault) {
         *self.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
     }
 
@@ -135,7 +141,7 @@
         let mut next = self.next_fault.lock().unwrap_or_else(PoisonError::into_inner);
         *next = match *next {
             Some((0, fault)) => {
-                self.set_fault(fault);
+                self.begin_fault(fault);
                 None
             }
             Some((appends, fault)) => Some((appends - 1, fault)),
